--- /dev/null
+++ b/booking/call.go
@@ -0,0 +1,37 @@
+package booking
+
+import "cuminhollow.example/clock"
+
+type callState uint8
+
+const (
+	callNew callState = iota
+	callWaiting
+	callRunning
+	callEnded
+)
+
+// Call is one call at a Desk. Create it with NewCall and give it to one Desk
+// once.
+type Call struct {
+	class    Class
+	kind     string
+	caller   string
+	deadline clock.Millis
+	// decided receives exactly one verdict if the call was queued.
+	decided chan Verdict
+	started clock.Millis
+	// state is guarded by the mutex of the desk.
+	state callState
+}
+
+// NewCall returns a call whose answer is of use until deadline.
+func NewCall(class Class, kind, caller string, deadline clock.Millis) *Call {
+	return &Call{class: class, kind: kind, caller: caller, deadline: deadline}
+}
+
+// Class returns the class of the call.
+func (c *Call) Class() Class { return c.class }
+
+// Decided receives VerdictStart or a refusal once for a call that was queued.
+func (c *Call) Decided() <-chan Verdict { return c.decided }
--- /dev/null
+++ b/booking/desk.go
@@ -0,0 +1,262 @@
+package booking
+
+import (
+	"sync"
+
+	"cuminhollow.example/clock"
+)
+
+const (
+	// queuePerSlot is the default queue length for each slot.
+	queuePerSlot = 8
+	// probeInterval is how often a call that seems too late is let through, so
+	// that an estimate of a slow past is corrected, in milliseconds.
+	probeInterval clock.Millis = 100
+	// fullShare is the share of starts from which lower classes are taken to
+	// leave nothing.
+	fullShare = 0.98
+)
+
+// Desk admits the calls of one upstream. It is safe for concurrent use; each
+// method holds its mutex for a few operations in memory. Create it with
+// NewDesk.
+type Desk struct {
+	mu      sync.Mutex
+	limiter limiter
+	policy  QueuePolicy
+	load    load
+	// running is at most the limit, but after the limit has dropped.
+	running int
+	// waiting is the sum of the sizes of the queues, at most maxWaiting.
+	waiting    int
+	maxWaiting int
+	queues     [Classes]classQueue
+	nextProbe  clock.Millis
+}
+
+// NewDesk returns a desk for an upstream with that many slots, at least one.
+func NewDesk(slots int, opts ...Option) *Desk {
+	slots = max(slots, 1)
+	d := &Desk{
+		limiter:    newLimiter(AdaptiveLimit{}, slots),
+		policy:     RankedQueue{},
+		maxWaiting: slots * queuePerSlot,
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
+}
+
+// Admit decides on a new call. After VerdictStart the caller runs it and calls
+// Done; after VerdictQueued it waits for Call.Decided.
+func (d *Desk) Admit(now clock.Millis, c *Call) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.load.roll(now)
+	v := d.admit(now, c)
+	switch v {
+	case VerdictExpired, VerdictShed:
+		c.state = callEnded
+		d.load.refuse(c.class)
+	case VerdictStart, VerdictQueued:
+	}
+	return v
+}
+
+func (d *Desk) admit(now clock.Millis, c *Call) Verdict {
+	if now >= c.deadline {
+		return VerdictExpired
+	}
+	if d.running < d.limiter.current() && d.waiting == 0 {
+		d.start(now, c)
+		return VerdictStart
+	}
+	d.limiter.reached()
+	if d.hopeless(now, c) && !d.probe(now) {
+		return VerdictShed
+	}
+	if d.waiting >= d.maxWaiting && !d.makeRoom(c) {
+		return VerdictShed
+	}
+	c.decided = make(chan Verdict, 1)
+	c.state = callWaiting
+	d.queue(c).push(c)
+	d.waiting++
+	return VerdictQueued
+}
+
+// queue returns the queue that c waits in. FIFOQueue has a single one.
+func (d *Desk) queue(c *Call) *classQueue {
+	if _, fifo := d.policy.(FIFOQueue); fifo {
+		return &d.queues[0]
+	}
+	return &d.queues[c.class]
+}
+
+// hopeless reports whether c would be too late after the calls ahead of it.
+func (d *Desk) hopeless(now clock.Millis, c *Call) bool {
+	if _, ranked := d.policy.(RankedQueue); !ranked {
+		return false
+	}
+	ahead := d.queues[c.class].ahead(c.kind)
+	for i := range c.class {
+		ahead += d.queues[i].size
+	}
+	share := d.load.shareBefore(c.class)
+	if share >= fullShare {
+		return true
+	}
+	rate := float64(d.limiter.current()) * (1 - share)
+	wait := float64(ahead+1) * d.load.mean / rate
+	return float64(now)+wait+d.load.duration(c.kind) > float64(c.deadline)
+}
+
+func (d *Desk) probe(now clock.Millis) bool {
+	if now < d.nextProbe {
+		return false
+	}
+	d.nextProbe = now + probeInterval
+	return true
+}
+
+// makeRoom evicts a call of the highest class that waits, unless that class
+// comes before c's.
+func (d *Desk) makeRoom(c *Call) bool {
+	if _, fifo := d.policy.(FIFOQueue); fifo {
+		return false
+	}
+	for i := Classes - 1; i >= int(c.class); i-- {
+		q := &d.queues[i]
+		if q.size == 0 {
+			continue
+		}
+		if i == int(c.class) && d.holdsMost(q, c.kind) {
+			return false
+		}
+		d.refuse(q.evict(), VerdictShed)
+		return true
+	}
+	return false
+}
+
+// holdsMost reports whether no kind waits more than the given one.
+func (d *Desk) holdsMost(q *classQueue, kind string) bool {
+	own := 0
+	if k := q.kindOf(kind); k != nil {
+		own = k.size
+	}
+	for _, k := range q.kinds {
+		if k.size > own {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Desk) refuse(c *Call, v Verdict) {
+	c.state = callEnded
+	d.waiting--
+	d.load.refuse(c.class)
+	c.decided <- v
+}
+
+func (d *Desk) start(now clock.Millis, c *Call) {
+	c.state = callRunning
+	c.started = now
+	d.running++
+	d.load.start(c.class)
+}
+
+// Done ends a call that was started and starts those whose turn it is.
+func (d *Desk) Done(now clock.Millis, c *Call, r Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.state != callRunning {
+		return
+	}
+	c.state = callEnded
+	d.running--
+	d.load.roll(now)
+	if r != ResultCancelled && r != ResultFailed {
+		d.load.finish(c.kind, float64(now-c.started))
+	}
+	d.limiter.done(now, r)
+	d.startWaiting(now)
+}
+
+func (d *Desk) startWaiting(now clock.Millis) {
+	for d.waiting > 0 && d.running < d.limiter.current() {
+		c := d.pop()
+		if d.tooLate(now, c) {
+			d.refuse(c, VerdictExpired)
+			continue
+		}
+		d.waiting--
+		d.start(now, c)
+		c.decided <- VerdictStart
+	}
+}
+
+// tooLate reports whether c cannot finish even if it starts now.
+func (d *Desk) tooLate(now clock.Millis, c *Call) bool {
+	if now >= c.deadline {
+		return true
+	}
+	if _, ranked := d.policy.(RankedQueue); !ranked {
+		return false
+	}
+	late := float64(now)+d.load.duration(c.kind) > float64(c.deadline)
+	return late && !d.probe(now)
+}
+
+func (d *Desk) pop() *Call {
+	for i := range d.queues {
+		if c := d.queues[i].pop(); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// Cancel takes a waiting call out of the queue and reports whether it was
+// still waiting. A call that is no longer waiting has a verdict in Decided.
+func (d *Desk) Cancel(c *Call) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.state != callWaiting || !d.queue(c).remove(c) {
+		return false
+	}
+	c.state = callEnded
+	d.waiting--
+	return true
+}
+
+// Level returns the first class that was refused lately, or Classes when none
+// was. Calls of higher classes are not worth sending.
+func (d *Desk) Level(now clock.Millis) Class {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.load.roll(now)
+	return d.load.level()
+}
+
+// Stats is the state of a Desk.
+type Stats struct {
+	// Limit, Running and Waiting are counts of calls.
+	Limit, Running, Waiting int
+	// Mean is the mean duration of a run, in milliseconds.
+	Mean float64
+}
+
+// Stats returns the state now.
+func (d *Desk) Stats() Stats {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Stats{
+		Limit:   d.limiter.current(),
+		Running: d.running,
+		Waiting: d.waiting,
+		Mean:    d.load.mean,
+	}
+}
--- /dev/null
+++ b/booking/limit.go
@@ -0,0 +1,95 @@
+package booking
+
+import "cuminhollow.example/clock"
+
+// LimitPolicy chooses how the concurrency limit moves: FixedLimit or
+// AdaptiveLimit.
+type LimitPolicy interface {
+	isLimitPolicy()
+}
+
+// FixedLimit keeps the limit at the upstream's slots.
+type FixedLimit struct{}
+
+// AdaptiveLimit starts low, grows while the upstream answers in time and
+// drops at once when it refuses, fails or is late.
+type AdaptiveLimit struct{}
+
+func (FixedLimit) isLimitPolicy()    {}
+func (AdaptiveLimit) isLimitPolicy() {}
+
+// Parameters of AdaptiveLimit.
+const (
+	// limitWindow is the span over which results are judged, in milliseconds.
+	limitWindow clock.Millis = 100
+	// coldFraction of the slots is the limit at the start.
+	coldFraction = 8
+	// growth is the factor by which a limit in use grows for each window.
+	growth = 1.25
+	// decrease is the factor applied after a window with too many faults.
+	decrease = 0.7
+	// faultShare is the share of faults in a window that lowers the limit.
+	faultShare = 0.1
+)
+
+// limiter holds the concurrency limit of one upstream.
+type limiter struct {
+	policy LimitPolicy
+	// slots is at least 1.
+	slots int
+	// limit is from 1 to slots.
+	limit float64
+	// windowEnd is when the current window is judged.
+	windowEnd  clock.Millis
+	ok, faults int
+	// used tells whether the limit was reached in the window.
+	used bool
+}
+
+func newLimiter(policy LimitPolicy, slots int) limiter {
+	slots = max(slots, 1)
+	l := limiter{policy: policy, slots: slots, limit: float64(slots)}
+	if _, adaptive := policy.(AdaptiveLimit); adaptive {
+		l.limit = max(1, float64(slots)/coldFraction)
+	}
+	return l
+}
+
+// current returns the limit as a whole number, from 1 to slots.
+func (l *limiter) current() int {
+	return int(l.limit)
+}
+
+// reached notes that a call found the limit in use.
+func (l *limiter) reached() { l.used = true }
+
+// done learns from the end of a run.
+func (l *limiter) done(now clock.Millis, r Result) {
+	switch r {
+	case ResultOK:
+		l.ok++
+	case ResultOverload, ResultFailed:
+		l.faults++
+	case ResultCancelled:
+	}
+	if now < l.windowEnd {
+		return
+	}
+	if _, adaptive := l.policy.(AdaptiveLimit); adaptive {
+		l.judge()
+	}
+	l.windowEnd = now + limitWindow
+	l.ok, l.faults, l.used = 0, 0, false
+}
+
+func (l *limiter) judge() {
+	total := l.ok + l.faults
+	switch {
+	case total == 0:
+		return
+	case float64(l.faults) > faultShare*float64(total):
+		l.limit = max(1, l.limit*decrease)
+	case l.used:
+		l.limit = min(float64(l.slots), max(l.limit+1, l.limit*growth))
+	}
+}
--- /dev/null
+++ b/booking/options.go
@@ -0,0 +1,36 @@
+package booking
+
+// Option changes how a Desk decides.
+type Option func(*Desk)
+
+// WithLimitPolicy sets how the limit moves; the default is AdaptiveLimit.
+func WithLimitPolicy(p LimitPolicy) Option {
+	return func(d *Desk) { d.limiter = newLimiter(p, d.limiter.slots) }
+}
+
+// WithQueuePolicy sets the order of the queue; the default is RankedQueue.
+func WithQueuePolicy(p QueuePolicy) Option {
+	return func(d *Desk) { d.policy = p }
+}
+
+// WithQueueLength sets the most calls that wait; the default is eight for
+// each slot.
+func WithQueueLength(n int) Option {
+	return func(d *Desk) { d.maxWaiting = max(n, 0) }
+}
+
+// QueuePolicy chooses the order of the queue: RankedQueue or FIFOQueue.
+type QueuePolicy interface {
+	isQueuePolicy()
+}
+
+// RankedQueue serves by class, then fairly by kind and caller, then by
+// deadline, and refuses what cannot finish in time.
+type RankedQueue struct{}
+
+// FIFOQueue serves in order of arrival and refuses only when the queue is
+// full. It is the baseline for measurements.
+type FIFOQueue struct{}
+
+func (RankedQueue) isQueuePolicy() {}
+func (FIFOQueue) isQueuePolicy()   {}
--- /dev/null
+++ b/claim/options.go
@@ -0,0 +1,42 @@
+package claim
+
+import "cuminhollow.example/clock"
+
+// The defaults of a Table.
+const (
+	defaultRecords  = 1 << 16
+	defaultBytes    = 16 << 20
+	defaultSessions = 4096
+	// defaultIdle is how long an unused session is kept, in milliseconds.
+	defaultIdle = 10 * clock.Minute
+)
+
+type limits struct {
+	records  int
+	bytes    int
+	sessions int
+	idle     clock.Millis
+}
+
+// Option changes a limit of a Table.
+type Option func(*limits)
+
+// WithRecords sets the most completion records kept; the default is 65536.
+func WithRecords(n int) Option {
+	return func(l *limits) { l.records = n }
+}
+
+// WithBytes sets the most bytes of answers kept; the default is 16 MiB.
+func WithBytes(n int) Option {
+	return func(l *limits) { l.bytes = n }
+}
+
+// WithSessions sets the most sessions kept; the default is 4096.
+func WithSessions(n int) Option {
+	return func(l *limits) { l.sessions = n }
+}
+
+// WithIdle sets how long an unused session is kept; the default is 10 minutes.
+func WithIdle(span clock.Millis) Option {
+	return func(l *limits) { l.idle = span }
+}
--- /dev/null
+++ b/cuminhollow/main.go
@@ -0,0 +1,4 @@
+// Command cuminhollow is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/depot/entry.go
@@ -0,0 +1,279 @@
+package depot
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/claim"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+	"github.com/google/uuid"
+)
+
+// maxCaller is the longest caller identity, in bytes.
+const maxCaller = 64
+
+// entry takes calls over HTTP, from outside callers and from the VM's own
+// upstream.
+type entry struct {
+	clock    clock.Clock
+	book     *record.Book
+	sender   *sender
+	runs     *runTable
+	metrics  *metrics
+	routes   []Route
+	identity string
+	leaving  atomic.Bool
+	// inWork counts the calls that are not answered yet.
+	inWork atomic.Int64
+}
+
+// callers handles the calls of outside callers.
+func (e *entry) callers() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(w, q, e.outside) })
+}
+
+// onward handles the calls of the VM's own upstream.
+func (e *entry) onward() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(w, q, e.inside) })
+}
+
+// contextOf returns the run that a call belongs to, or the reason why it is
+// refused.
+type contextOf func(q *http.Request, p *record.Policy) (*run, string)
+
+func (e *entry) serve(w http.ResponseWriter, q *http.Request, contextOf contextOf) {
+	e.inWork.Add(1)
+	defer e.inWork.Add(-1)
+	name := e.kind(q)
+	policy := e.book.Snapshot().Policy(name)
+	r, reason := e.begin(q, policy, contextOf)
+	if reason != "" {
+		e.refuse(w, name, policy, reason)
+		return
+	}
+	body, reason := readBody(w, q)
+	if reason != "" {
+		e.refuse(w, name, policy, reason)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	stop := context.AfterFunc(q.Context(), cancel)
+	defer stop()
+	scoped := *r
+	scoped.ctx = ctx
+	o := newOrder(&scoped, q, policy, body)
+	a := e.answer(q, o)
+	e.metrics.outcome(name, a.Outcome, a.Reason)
+	e.write(w, o, policy, a)
+}
+
+// begin finds the context of a call.
+func (e *entry) begin(q *http.Request, p *record.Policy, contextOf contextOf) (*run, string) {
+	switch {
+	case p == nil:
+		return nil, reasonNoKind
+	case p.Retired():
+		return nil, reasonRetired
+	}
+	r, reason := contextOf(q, p)
+	if reason != "" {
+		return nil, reason
+	}
+	left, ok := timeLeft(q)
+	if !ok {
+		return nil, reasonBadTime
+	}
+	if left > 0 {
+		r.deadline = min(r.deadline, e.clock.Now()+left)
+	}
+	return r, ""
+}
+
+// timeLeft reads the time that a caller gives a call; 0 when it gives none.
+func timeLeft(q *http.Request) (clock.Millis, bool) {
+	text := q.Header.Get(HeaderTimeLeft)
+	if text == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 1 {
+		return 0, false
+	}
+	return min(clock.Millis(n), record.MaxTarget), true
+}
+
+// outside starts a request of an outside caller.
+func (e *entry) outside(q *http.Request, p *record.Policy) (*run, string) {
+	if e.leaving.Load() {
+		return nil, reasonLeaving
+	}
+	r := &run{
+		ctx:      q.Context(),
+		request:  uuid.NewString(),
+		class:    booking.ClassOf(p.Protected(), p.Rank()),
+		group:    p.Name(),
+		caller:   e.caller(q),
+		deadline: e.clock.Now() + p.Target(),
+		account:  ledger.NewAccount(p.ExtraTries()),
+	}
+	return r, ""
+}
+
+// inside continues the request of a run on the upstream. An onward call that
+// does not name its run is served as the least urgent work without retries; one
+// that names a run that has ended is refused, since nobody waits for it.
+func (e *entry) inside(q *http.Request, p *record.Policy) (*run, string) {
+	now := e.clock.Now()
+	id := q.Header.Get(HeaderRun)
+	if id == "" {
+		r := &run{
+			ctx:      q.Context(),
+			request:  uuid.NewString(),
+			class:    booking.ClassOf(false, record.MaxRank),
+			group:    p.Name(),
+			deadline: now + p.Target(),
+			account:  ledger.NewAccount(0),
+		}
+		return r, ""
+	}
+	parent := e.runs.find(id)
+	if parent == nil {
+		return nil, reasonNoRun
+	}
+	r := *parent
+	r.deadline = min(r.deadline, now+p.Target())
+	return &r, ""
+}
+
+// caller returns the identity by which a caller's share is counted.
+func (e *entry) caller(q *http.Request) string {
+	if e.identity == identityHeader {
+		name := q.Header.Get(HeaderCaller)
+		return name[:min(len(name), maxCaller)]
+	}
+	host, _, err := net.SplitHostPort(q.RemoteAddr)
+	if err != nil {
+		return q.RemoteAddr
+	}
+	return host
+}
+
+func (e *entry) kind(q *http.Request) string {
+	if name := q.Header.Get(HeaderKind); name != "" {
+		return name
+	}
+	for _, r := range e.routes {
+		if r.Method == q.Method && strings.HasPrefix(q.URL.Path, r.Prefix) {
+			return r.Kind
+		}
+	}
+	return ""
+}
+
+func readBody(w http.ResponseWriter, q *http.Request) ([]byte, string) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, portage.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, reasonTooLarge
+	case err != nil:
+		return nil, reasonBadBody
+	default:
+		return body, ""
+	}
+}
+
+func newOrder(r *run, q *http.Request, p *record.Policy, body []byte) *order {
+	return &order{
+		run:        r,
+		service:    p.Service(),
+		idempotent: p.Idempotent(),
+		call: portage.Call{
+			Request: r.request,
+			Kind:    p.Name(),
+			Group:   r.group,
+			Class:   uint8(r.class),
+			Caller:  r.caller,
+			Method:  q.Method,
+			Path:    q.URL.RequestURI(),
+			Header:  passedFields(q.Header),
+			Body:    body,
+			Sum:     portage.Checksum(body),
+		},
+	}
+}
+
+// answer sends the order, or presents the ticket that came with the call.
+func (e *entry) answer(q *http.Request, o *order) *portage.Answer {
+	text := q.Header.Get(HeaderTicket)
+	if text == "" || o.idempotent {
+		return e.sender.send(o)
+	}
+	k, err := claim.ParseTicket(text)
+	if err != nil {
+		return notRun(reasonBadTicket, 0)
+	}
+	o.ticket = k
+	return e.sender.present(o)
+}
+
+func (e *entry) refuse(w http.ResponseWriter, kind string, p *record.Policy, reason string) {
+	e.metrics.outcome(kind, portage.OutcomeNotRun, reason)
+	out := problem{
+		Status:  statusOf(portage.OutcomeNotRun, reason),
+		Outcome: portage.OutcomeNotRun.String(),
+		Reason:  reason,
+		Kind:    kind,
+	}
+	out.setRank(p)
+	if reason == reasonLeaving {
+		w.Header().Set("Connection", "close")
+	}
+	out.write(w)
+}
+
+func (p *problem) setRank(policy *record.Policy) {
+	if policy == nil {
+		return
+	}
+	rank := policy.Rank()
+	p.Rank = &rank
+}
+
+// write gives the caller the whole answer or the truth about its absence.
+func (e *entry) write(w http.ResponseWriter, o *order, p *record.Policy, a *portage.Answer) {
+	h := w.Header()
+	h.Set(HeaderRequest, o.run.request)
+	if !o.ticket.IsZero() {
+		h.Set(HeaderTicket, o.ticket.String())
+	}
+	if a.Outcome == portage.OutcomeAnswered {
+		addFields(h, a.Header)
+		h.Set(HeaderOutcome, a.Outcome.String())
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(a.Status)
+		_, _ = w.Write(a.Body)
+		return
+	}
+	out := problem{
+		Status:  statusOf(a.Outcome, a.Reason),
+		Outcome: a.Outcome.String(),
+		Reason:  a.Reason,
+		Kind:    p.Name(),
+		Request: o.run.request,
+		Ticket:  o.ticket.String(),
+	}
+	out.setRank(p)
+	out.write(w)
+}
--- /dev/null
+++ b/depot/header.go
@@ -0,0 +1,78 @@
+package depot
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"cuminhollow.example/portage"
+)
+
+// The headers between callers, nodes and upstreams. Times are in milliseconds.
+const (
+	// HeaderKind names the kind of work of a call.
+	HeaderKind = "Cuminhollow-Kind"
+	// HeaderOutcome tells what became of a call: answered, not-run or unknown.
+	HeaderOutcome = "Cuminhollow-Outcome"
+	// HeaderTicket carries the ticket of non-idempotent work.
+	HeaderTicket = "Cuminhollow-Ticket"
+	// HeaderRequest identifies the outside caller's request.
+	HeaderRequest = "Cuminhollow-Request"
+	// HeaderRun identifies a run on the upstream. The upstream repeats it on
+	// its onward calls.
+	HeaderRun = "Cuminhollow-Run"
+	// HeaderCaller names the caller where the settings allow it.
+	HeaderCaller = "Cuminhollow-Caller"
+	// HeaderTimeLeft is the time until the answer is of no use.
+	HeaderTimeLeft = "Cuminhollow-Time-Left-Ms"
+	// HeaderRank tells the upstream the rank of the work.
+	HeaderRank = "Cuminhollow-Rank"
+)
+
+const headerPrefix = "Cuminhollow-"
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Content-Length",
+}
+
+// passedFields returns the header fields that go on with a call or an answer.
+func passedFields(h http.Header) []portage.Field {
+	named := connectionFields(h)
+	fields := make([]portage.Field, 0, len(h))
+	for name, values := range h {
+		if strings.HasPrefix(name, headerPrefix) || slices.Contains(hopHeaders, name) || slices.Contains(named, name) {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, portage.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+// connectionFields returns the names that the Connection header lists.
+func connectionFields(h http.Header) []string {
+	var names []string
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
+func addFields(h http.Header, fields []portage.Field) {
+	for _, f := range fields {
+		h.Add(f.Name, f.Value)
+	}
+}
--- /dev/null
+++ b/depot/listen.go
@@ -0,0 +1,39 @@
+package depot
+
+import "net"
+
+// listeners are the open ports of a node.
+type listeners struct {
+	callers, upstream, peers, operators net.Listener
+}
+
+// listen opens all ports or none.
+func (n *Node) listen() (*listeners, error) {
+	s := n.settings.listen
+	l := new(listeners)
+	for _, port := range []struct {
+		address string
+		at      *net.Listener
+	}{
+		{s.Callers, &l.callers},
+		{s.Upstream, &l.upstream},
+		{s.Peers, &l.peers},
+		{s.Operators, &l.operators},
+	} {
+		opened, err := net.Listen("tcp", port.address)
+		if err != nil {
+			l.close()
+			return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+		}
+		*port.at = opened
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, o := range []net.Listener{l.callers, l.upstream, l.peers, l.operators} {
+		if o != nil {
+			_ = o.Close()
+		}
+	}
+}
--- /dev/null
+++ b/depot/node.go
@@ -0,0 +1,294 @@
+package depot
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/claim"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+	"cuminhollow.example/registry"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of a whole request.
+	bodyTimeout = 30 * time.Second
+	// idleTimeout bounds a caller's connection between two requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// bootstrapTimeout bounds the first reads before the node serves.
+	bootstrapTimeout = 3 * time.Second
+	// stopTimeout bounds a planned stop: longer than the longest target time.
+	stopTimeout = 11 * time.Minute
+	// stopPoll is how often a planned stop looks whether work is done.
+	stopPoll = 5 * time.Millisecond
+	// quietSpan is how long a leaving node must be without work before it
+	// closes its ports, so that calls already under way still arrive.
+	quietSpan = 250 * time.Millisecond
+)
+
+// Node is one node. Create it with New and run it once with Run.
+type Node struct {
+	settings *Settings
+	clock    clock.Clock
+	log      zerolog.Logger
+	metrics  *metrics
+	book     *record.Book
+	router   *dispatch.Router
+	peers    *peers
+	owner    *owner
+	entry    *entry
+	spread   *spread
+	server   *portage.Server
+	ready    atomic.Bool
+	deskOpts []booking.Option
+	linkOpts []portage.Option
+	// incarnation is drawn anew by each process.
+	incarnation uint64
+}
+
+// Option changes a Node.
+type Option func(*Node)
+
+// WithLogger sets the log; the default discards it.
+func WithLogger(log zerolog.Logger) Option {
+	return func(n *Node) { n.log = log }
+}
+
+// WithDesk sets options of the admission desk; the default is none.
+func WithDesk(opts ...booking.Option) Option {
+	return func(n *Node) { n.deskOpts = opts }
+}
+
+// New builds a node. It opens no sockets yet.
+func New(s *Settings, opts ...Option) (*Node, error) {
+	n := &Node{
+		settings:    s,
+		clock:       clock.NewSystem(),
+		log:         zerolog.Nop(),
+		incarnation: newIncarnation(),
+	}
+	for _, o := range opts {
+		o(n)
+	}
+	m, err := newMetrics()
+	if err != nil {
+		return nil, &Error{Op: "set up metrics", Kind: KindSettings, Err: err}
+	}
+	n.metrics = m
+	if err := n.secure(); err != nil {
+		return nil, err
+	}
+	n.build()
+	if err := m.observe(n.owner); err != nil {
+		return nil, &Error{Op: "set up metrics", Kind: KindSettings, Err: err}
+	}
+	return n, nil
+}
+
+func newIncarnation() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func (n *Node) build() {
+	s := n.settings
+	runs := new(runTable)
+	n.book = record.NewBook(n.clock)
+	n.router = dispatch.NewRouter(s.vm, s.place)
+	hello := portage.Hello{VM: s.vm, Incarnation: n.incarnation}
+	n.peers = newPeers(n.clock, hello, n.router, n.linkOpts)
+	n.owner = &owner{
+		clock:    n.clock,
+		table:    claim.NewTable(s.vm, n.incarnation, n.clock, answerSize),
+		desk:     booking.NewDesk(s.upstream.Slots, n.deskOpts...),
+		upstream: newUpstream(s.upstream),
+		runs:     runs,
+		metrics:  n.metrics,
+	}
+	n.entry = &entry{
+		clock:    n.clock,
+		book:     n.book,
+		sender:   &sender{clock: n.clock, router: n.router, peers: n.peers, metrics: n.metrics},
+		runs:     runs,
+		metrics:  n.metrics,
+		routes:   s.routes,
+		identity: s.callers.Identity,
+	}
+	n.spread = &spread{
+		self:     s.vm,
+		zone:     s.place.Zone,
+		book:     n.book,
+		router:   n.router,
+		peers:    n.peers,
+		platform: newPlatform(s.platform),
+		schedule: registry.NewSchedule(rand.Float64),
+		log:      n.log,
+		seeds:    s.seeds,
+		fresh:    make(chan *record.Document, freshQueue),
+	}
+	n.spread.fleet.Store(registry.NewFleet(s.vm, s.place.Zone, n.book.Snapshot()))
+	n.server = portage.NewServer(n, n.linkOpts...)
+}
+
+// Run serves until ctx ends, then stops gracefully: it takes no new work,
+// finishes what is in flight, and returns nil. It returns an *Error when a port
+// cannot be opened.
+func (n *Node) Run(ctx context.Context) error {
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	defer listeners.close()
+	work, stopWork := context.WithCancelCause(context.Background())
+	defer stopWork(errShutdown)
+	g, gctx := errgroup.WithContext(work)
+	g.Go(func() error { return n.server.Serve(listeners.peers) })
+	operators := n.serveHTTP(g, listeners.operators, n.operators())
+	n.bootstrap(ctx)
+	mux := http.NewServeMux()
+	mux.HandleFunc(TicketPath, n.entry.tickets)
+	mux.Handle("/", n.entry.callers())
+	callers := n.serveHTTP(g, listeners.callers, mux)
+	onward := n.serveHTTP(g, listeners.upstream, n.entry.onward())
+	g.Go(func() error { return n.spread.run(gctx) })
+	n.ready.Store(true)
+	n.log.Info().Str("event", "ready").Str("vm", n.settings.vm).Send()
+	select {
+	case <-ctx.Done():
+	case <-gctx.Done():
+	}
+	n.stop(callers, onward)
+	_ = operators.Close()
+	stopWork(errShutdown)
+	err = g.Wait()
+	n.log.Info().Str("event", "stopped").Str("vm", n.settings.vm).Send()
+	return err
+}
+
+func (n *Node) bootstrap(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	if err := n.spread.bootstrap(ctx); err != nil {
+		n.log.Warn().Str("event", "bootstrap").Err(err).Send()
+	}
+}
+
+// Drain makes the node leave: it tells its peers and refuses new work, but
+// keeps running.
+func (n *Node) Drain() {
+	if n.owner.leaving.Swap(true) {
+		return
+	}
+	n.entry.leaving.Store(true)
+	n.log.Info().Str("event", "leaving").Str("vm", n.settings.vm).Send()
+	notice := &portage.Leaving{VM: n.settings.vm, Incarnation: n.incarnation}
+	n.server.Broadcast(notice)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, p := range n.peers.connected() {
+		if link, err := p.connect(ctx); err == nil {
+			_ = link.Notify(ctx, notice)
+		}
+	}
+}
+
+// stop leaves, waits for the work in flight and closes the ports.
+func (n *Node) stop(callers, onward *http.Server) {
+	n.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	n.settle(ctx)
+	_ = callers.Shutdown(ctx)
+	_ = n.server.Shutdown(ctx)
+	_ = onward.Shutdown(ctx)
+	n.peers.close()
+}
+
+// settle returns when there was no work for a while.
+func (n *Node) settle(ctx context.Context) {
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	quiet := time.Now()
+	for time.Since(quiet) < quietSpan {
+		if n.owner.inWork.Load()+n.entry.inWork.Load() > 0 {
+			quiet = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) serveHTTP(g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	g.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return &Error{Op: "serve", Kind: KindListen, Err: err}
+		}
+		return nil
+	})
+	return s
+}
+
+// Greet implements portage.Handler.
+func (n *Node) Greet(p portage.Peer) portage.Welcome {
+	return portage.Welcome{
+		VM:          n.settings.vm,
+		Incarnation: n.incarnation,
+		Session:     n.owner.table.OpenSession(p.VM, p.Incarnation),
+		Leaving:     n.owner.leaving.Load(),
+	}
+}
+
+// Handle implements portage.Handler.
+func (n *Node) Handle(ctx context.Context, _ portage.Peer, q portage.Request) portage.Response {
+	switch q := q.(type) {
+	case *portage.Call:
+		return n.owner.call(ctx, q)
+	case *portage.Query:
+		return n.owner.reply(&portage.Call{}, n.owner.query(ctx, q))
+	case *portage.Exchange:
+		return n.spread.listing(q)
+	case *portage.Fetch:
+		return n.spread.documents(q)
+	default:
+		return nil
+	}
+}
+
+// Notice implements portage.Handler.
+func (n *Node) Notice(p portage.Peer, m portage.Notice) {
+	switch m := m.(type) {
+	case *portage.Leaving:
+		n.peers.notice(m)
+	case *portage.Push:
+		for _, d := range m.Documents {
+			n.spread.offer(d.Key, d.Body, p.VM)
+		}
+	}
+}
--- /dev/null
+++ b/depot/owner.go
@@ -0,0 +1,240 @@
+package depot
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/claim"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
+	"cuminhollow.example/portage"
+	"github.com/google/uuid"
+)
+
+const (
+	// outcomeGrace is how long non-idempotent work may run past its deadline,
+	// so that its outcome is still learnt, in milliseconds.
+	outcomeGrace = 10 * clock.Second
+	// answerOverhead is the memory of a kept answer besides its body, in bytes.
+	answerOverhead = 512
+)
+
+// owner admits the calls of peers and runs them on the upstream.
+type owner struct {
+	clock    clock.Clock
+	table    *claim.Table[*portage.Answer]
+	desk     *booking.Desk
+	upstream *upstream
+	runs     *runTable
+	metrics  *metrics
+	leaving  atomic.Bool
+	// inWork counts the calls that are queued or running.
+	inWork atomic.Int64
+}
+
+func answerSize(a *portage.Answer) int { return len(a.Body) + answerOverhead }
+
+// call answers one Call of a peer.
+func (o *owner) call(ctx context.Context, c *portage.Call) *portage.Answer {
+	deadline := o.clock.Now() + clock.Millis(c.TimeLeftMS)
+	if portage.Checksum(c.Body) != c.Sum {
+		return o.reply(c, notRun(reasonDamaged, c.Grant))
+	}
+	if c.Ticket == "" {
+		return o.reply(c, o.admit(ctx, c, deadline))
+	}
+	ticket, err := claim.ParseTicket(c.Ticket)
+	if err != nil {
+		return o.reply(c, notRun(reasonBadTicket, c.Grant))
+	}
+	return o.reply(c, o.once(ctx, c, ticket, deadline))
+}
+
+// reply completes an answer that may be shared: it copies it.
+func (o *owner) reply(c *portage.Call, a *portage.Answer) *portage.Answer {
+	out := *a
+	out.Request = c.Request
+	out.Level = uint8(o.desk.Level(o.clock.Now()))
+	return &out
+}
+
+func notRun(reason string, unspent int) *portage.Answer {
+	return &portage.Answer{Outcome: portage.OutcomeNotRun, Reason: reason, Unspent: unspent}
+}
+
+func unknown(reason string) *portage.Answer {
+	return &portage.Answer{Outcome: portage.OutcomeUnknown, Reason: reason}
+}
+
+// once runs the work of a ticket unless it ran or was refused before.
+func (o *owner) once(ctx context.Context, c *portage.Call, k claim.Ticket, deadline clock.Millis) *portage.Answer {
+	reply := o.table.Present(k)
+	if _, first := reply.(claim.Run[*portage.Answer]); !first {
+		return o.settled(ctx, k, reply, c.Grant, deadline)
+	}
+	// The connection may be lost while the work goes on: only a cancellation
+	// that the peer sent ends it, and only while it waits.
+	a := o.admit(detach(ctx), c, deadline)
+	switch a.Outcome {
+	case portage.OutcomeAnswered:
+		o.table.Finish(k, a)
+	case portage.OutcomeNotRun:
+		o.table.Refuse(k)
+	case portage.OutcomeUnknown:
+		o.table.Lose(k)
+	}
+	return a
+}
+
+// query answers the question what became of a ticket.
+func (o *owner) query(ctx context.Context, q *portage.Query) *portage.Answer {
+	k, err := claim.ParseTicket(q.Ticket)
+	if err != nil {
+		return notRun(reasonBadTicket, 0)
+	}
+	deadline := o.clock.Now() + clock.Millis(q.TimeLeftMS)
+	return o.settled(ctx, k, o.table.Withdraw(k), 0, deadline)
+}
+
+// settled turns what the table knows of a ticket into an answer and waits, up
+// to the deadline, for work that is in progress.
+func (o *owner) settled(ctx context.Context, k claim.Ticket, reply claim.Reply[*portage.Answer], grant int, deadline clock.Millis) *portage.Answer {
+	for {
+		switch r := reply.(type) {
+		case claim.Done[*portage.Answer]:
+			return r.Answer
+		case claim.NotRun[*portage.Answer]:
+			return notRun(reasonRefused, grant)
+		case claim.Wait[*portage.Answer]:
+			if !o.await(ctx, r.Settled, deadline) {
+				return unknown(reasonRunning)
+			}
+			reply = o.table.Withdraw(k)
+		default:
+			return unknown(reasonForgotten)
+		}
+	}
+}
+
+func (o *owner) await(ctx context.Context, settled <-chan struct{}, deadline clock.Millis) bool {
+	ctx, cancel := withDeadline(ctx, o.clock, deadline)
+	defer cancel()
+	select {
+	case <-settled:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// admit waits for a slot and runs the call.
+func (o *owner) admit(ctx context.Context, c *portage.Call, deadline clock.Millis) *portage.Answer {
+	o.inWork.Add(1)
+	defer o.inWork.Add(-1)
+	if o.leaving.Load() {
+		return notRun(reasonLeaving, c.Grant)
+	}
+	b := booking.NewCall(booking.Class(c.Class), c.Group, c.Caller, deadline)
+	v := o.desk.Admit(o.clock.Now(), b)
+	if v == booking.VerdictQueued {
+		v = o.queued(ctx, b, deadline)
+	}
+	o.metrics.verdict(v)
+	switch v {
+	case booking.VerdictStart:
+		return o.start(ctx, c, b, deadline)
+	case booking.VerdictExpired:
+		return notRun(reasonExpired, c.Grant)
+	case booking.VerdictShed, booking.VerdictQueued:
+	}
+	return notRun(reasonOverload, c.Grant)
+}
+
+// queued waits for the verdict on a queued call.
+func (o *owner) queued(ctx context.Context, b *booking.Call, deadline clock.Millis) booking.Verdict {
+	ctx, cancel := withDeadline(ctx, o.clock, deadline)
+	defer cancel()
+	select {
+	case v := <-b.Decided():
+		return v
+	case <-ctx.Done():
+	}
+	if o.desk.Cancel(b) {
+		return booking.VerdictExpired
+	}
+	return <-b.Decided()
+}
+
+// start runs a call that has a slot.
+func (o *owner) start(ctx context.Context, c *portage.Call, b *booking.Call, deadline clock.Millis) *portage.Answer {
+	now := o.clock.Now()
+	if now >= deadline || ctx.Err() != nil {
+		o.desk.Done(now, b, booking.ResultCancelled)
+		return notRun(reasonExpired, c.Grant)
+	}
+	limit := deadline
+	if c.Ticket != "" {
+		limit += outcomeGrace
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := withDeadline(ctx, o.clock, limit)
+	defer cancel()
+	id := uuid.NewString()
+	account := ledger.NewAccount(c.Grant)
+	o.runs.add(id, &run{
+		ctx:      ctx,
+		request:  c.Request,
+		class:    booking.Class(c.Class),
+		group:    c.Group,
+		caller:   c.Caller,
+		deadline: deadline,
+		account:  account,
+	})
+	res := o.upstream.do(ctx, c, id, deadline-now)
+	o.runs.remove(id)
+	ended := o.clock.Now()
+	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
+	o.metrics.run(res.outcome, ended-now)
+	return &portage.Answer{
+		Outcome: res.outcome,
+		Reason:  res.reason,
+		Status:  res.status,
+		Header:  res.header,
+		Body:    res.body,
+		Sum:     portage.Checksum(res.body),
+		Unspent: account.Close(),
+	}
+}
+
+// resultOf classifies the end of a run for the concurrency limit.
+func resultOf(ctx context.Context, res runResult, late bool) booking.Result {
+	switch {
+	case res.outcome == portage.OutcomeAnswered && !late:
+		return booking.ResultOK
+	case res.reason == reasonOverload || late:
+		return booking.ResultOverload
+	case errors.Is(ctx.Err(), context.Canceled):
+		return booking.ResultCancelled
+	default:
+		return booking.ResultFailed
+	}
+}
+
+// detach returns a context that ends only when the peer cancels the request,
+// not when its connection is lost.
+func detach(ctx context.Context) context.Context {
+	out, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), portage.ErrCancelled) {
+			cancel(portage.ErrCancelled)
+		}
+	})
+	return out
+}
+
+// withDeadline limits ctx to a point of the node's clock.
+func withDeadline(ctx context.Context, c clock.Clock, deadline clock.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, (deadline - c.Now()).Duration())
+}
--- /dev/null
+++ b/depot/secure.go
@@ -0,0 +1,75 @@
+package depot
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"cuminhollow.example/portage"
+)
+
+// reloadInterval is how often the key files are read again.
+const reloadInterval = time.Minute
+
+// secure prepares TLS between nodes unless the settings ask for plain TCP.
+func (n *Node) secure() error {
+	t := n.settings.transport
+	if t.Plain {
+		n.log.Warn().Str("event", "plain-transport").
+			Str("detail", "connections between nodes are neither encrypted nor authenticated").Send()
+		return nil
+	}
+	k := &keys{settings: t}
+	if err := k.load(); err != nil {
+		return &Error{Op: "load keys", Kind: KindSettings, Err: err}
+	}
+	n.linkOpts = append(n.linkOpts, portage.WithTLS(k.config))
+	return nil
+}
+
+// keys holds the TLS configuration and renews it from the files, so that a
+// certificate is replaced without a restart. It is safe for concurrent use.
+type keys struct {
+	settings transportSettings
+	current  atomic.Pointer[tls.Config]
+	// loaded is when the files were last read, in Unix milliseconds.
+	loaded atomic.Int64
+}
+
+// config returns the configuration for one handshake. Files that cannot be
+// read leave the last good one in use.
+func (k *keys) config() *tls.Config {
+	last := k.loaded.Load()
+	now := time.Now().UnixMilli()
+	if now-last > reloadInterval.Milliseconds() && k.loaded.CompareAndSwap(last, now) {
+		_ = k.load()
+	}
+	return k.current.Load()
+}
+
+func (k *keys) load() error {
+	certificate, err := tls.LoadX509KeyPair(k.settings.Certificate, k.settings.Key)
+	if err != nil {
+		return err
+	}
+	authority, err := os.ReadFile(k.settings.Authority)
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return errors.New("the authority file holds no certificate")
+	}
+	k.current.Store(&tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	})
+	k.loaded.Store(time.Now().UnixMilli())
+	return nil
+}
--- /dev/null
+++ b/depot/settings.go
@@ -0,0 +1,294 @@
+package depot
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cuminhollow.example/dispatch"
+	"go.yaml.in/yaml/v3"
+)
+
+// Settings are the checked settings of one node. They are immutable.
+type Settings struct {
+	vm        string
+	service   string
+	place     dispatch.Place
+	listen    listenSettings
+	upstream  upstreamSettings
+	platform  []string
+	seeds     []string
+	callers   callerSettings
+	transport transportSettings
+	routes    []Route
+}
+
+// Route maps a method and a path prefix to a kind of work.
+type Route struct {
+	Method string `yaml:"method"`
+	Prefix string `yaml:"prefix"`
+	Kind   string `yaml:"kind"`
+}
+
+type listenSettings struct {
+	Callers   string `yaml:"callers"`
+	Upstream  string `yaml:"upstream"`
+	Peers     string `yaml:"peers"`
+	Operators string `yaml:"operators"`
+}
+
+type upstreamSettings struct {
+	Address     string `yaml:"address"`
+	Slots       int    `yaml:"slots"`
+	Connections int    `yaml:"connections"`
+}
+
+type callerSettings struct {
+	// Identity is "address" or "header".
+	Identity string `yaml:"identity"`
+}
+
+type transportSettings struct {
+	Plain       bool   `yaml:"plain"`
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// The values of callers.identity.
+const (
+	identityAddress = "address"
+	identityHeader  = "header"
+)
+
+type settingsFile struct {
+	VM        string            `yaml:"vm"`
+	Service   string            `yaml:"service"`
+	Region    string            `yaml:"region"`
+	Zone      string            `yaml:"zone"`
+	Listen    listenSettings    `yaml:"listen"`
+	Upstream  upstreamSettings  `yaml:"upstream"`
+	Platform  []string          `yaml:"platform"`
+	Seeds     []string          `yaml:"seeds"`
+	Callers   callerSettings    `yaml:"callers"`
+	Transport transportSettings `yaml:"transport"`
+	Routes    []Route           `yaml:"routes"`
+}
+
+// VM returns the name of the VM.
+func (s *Settings) VM() string { return s.vm }
+
+// Service returns the service that the VM's upstream runs.
+func (s *Settings) Service() string { return s.service }
+
+// Place returns the region and the availability zone of the VM.
+func (s *Settings) Place() dispatch.Place { return s.place }
+
+// LoadSettings reads and checks the settings file at path.
+func LoadSettings(path string) (*Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "read settings", Kind: KindSettings, Err: err}
+	}
+	return ParseSettings(path, body)
+}
+
+// ParseSettings checks settings in YAML. The error lists every fault with its
+// line; name stands for the file in it.
+func ParseSettings(name string, body []byte) (*Settings, error) {
+	c := settingsCheck{name: name, body: body}
+	var f settingsFile
+	d := yaml.NewDecoder(bytes.NewReader(body))
+	d.KnownFields(true)
+	if err := d.Decode(&f); err != nil {
+		c.decodeError(err)
+	}
+	c.check(&f)
+	if len(c.faults) > 0 {
+		err := errors.New(strings.Join(c.faults, "\n"))
+		return nil, &Error{Op: "check settings", Kind: KindSettings, Err: err}
+	}
+	if f.Callers.Identity == "" {
+		f.Callers.Identity = identityAddress
+	}
+	return &Settings{
+		vm:        f.VM,
+		service:   f.Service,
+		place:     dispatch.Place{Region: f.Region, Zone: f.Zone},
+		listen:    f.Listen,
+		upstream:  f.Upstream,
+		platform:  f.Platform,
+		seeds:     f.Seeds,
+		callers:   f.Callers,
+		transport: f.Transport,
+		routes:    f.Routes,
+	}, nil
+}
+
+// settingsCheck collects the faults of one settings file.
+type settingsCheck struct {
+	name   string
+	body   []byte
+	faults []string
+}
+
+func (c *settingsCheck) fail(line int, format string, args ...any) {
+	fault := fmt.Sprintf("%s:%d: %s", c.name, line, fmt.Sprintf(format, args...))
+	if !slices.Contains(c.faults, fault) {
+		c.faults = append(c.faults, fault)
+	}
+}
+
+func (c *settingsCheck) decodeError(err error) {
+	var t *yaml.TypeError
+	switch {
+	case errors.As(err, &t):
+		for _, e := range t.Errors {
+			c.libraryError(e)
+		}
+	case errors.Is(err, io.EOF):
+		c.fail(1, "the file is empty")
+	default:
+		c.libraryError(err.Error())
+	}
+}
+
+// libraryError takes the line number out of a message of the YAML library.
+func (c *settingsCheck) libraryError(message string) {
+	message = strings.TrimPrefix(message, "yaml: ")
+	rest, ok := strings.CutPrefix(message, "line ")
+	number, reason, found := strings.Cut(rest, ": ")
+	line, err := strconv.Atoi(number)
+	if !ok || !found || err != nil {
+		c.fail(1, "%s", message)
+		return
+	}
+	c.fail(line, "%s", reason)
+}
+
+// line returns the line of a key below a section, or of the section, or 1.
+func (c *settingsCheck) line(section, key string) int {
+	found, inSection := 1, section == ""
+	for i, l := range strings.Split(string(c.body), "\n") {
+		trimmed := strings.TrimLeft(l, " ")
+		if len(trimmed) == len(l) && section != "" && trimmed != "" {
+			inSection = strings.HasPrefix(trimmed, section+":")
+			if inSection {
+				found = i + 1
+			}
+		}
+		if inSection && strings.HasPrefix(strings.TrimLeft(trimmed, "- {"), key+":") {
+			return i + 1
+		}
+	}
+	return found
+}
+
+func (c *settingsCheck) check(f *settingsFile) {
+	c.required("", "vm", f.VM)
+	c.required("", "service", f.Service)
+	c.required("", "region", f.Region)
+	c.required("", "zone", f.Zone)
+	c.ports(f)
+	c.address("upstream", "address", f.Upstream.Address)
+	c.positive("slots", f.Upstream.Slots)
+	c.positive("connections", f.Upstream.Connections)
+	if f.Upstream.Connections < f.Upstream.Slots {
+		c.fail(c.line("upstream", "connections"), "upstream.connections %d is less than upstream.slots %d",
+			f.Upstream.Connections, f.Upstream.Slots)
+	}
+	if len(f.Platform) == 0 {
+		c.fail(c.line("", "platform"), "platform needs at least one address")
+	}
+	for _, a := range f.Platform {
+		c.address("", "platform", a)
+	}
+	for _, a := range f.Seeds {
+		c.address("", "seeds", a)
+	}
+	c.identity(f)
+	c.transport(f)
+	c.routes(f)
+}
+
+func (c *settingsCheck) required(section, key, value string) {
+	if value == "" {
+		c.fail(c.line(section, key), "%s is missing", key)
+	}
+}
+
+func (c *settingsCheck) positive(key string, value int) {
+	if value < 1 {
+		c.fail(c.line("upstream", key), "upstream.%s must be 1 or more", key)
+	}
+}
+
+func (c *settingsCheck) address(section, key, value string) {
+	name := strings.TrimPrefix(section+"."+key, ".")
+	line := c.line(section, key)
+	if value == "" {
+		c.fail(line, "%s is missing", name)
+		return
+	}
+	_, port, err := net.SplitHostPort(value)
+	if err != nil {
+		c.fail(line, "%s %q must be host:port", name, value)
+		return
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		c.fail(line, "%s %q needs a port from 1 to 65535", name, value)
+	}
+}
+
+// ports checks the four listening addresses and that no two are the same.
+func (c *settingsCheck) ports(f *settingsFile) {
+	seen := make(map[string]string)
+	for _, l := range []struct{ key, value string }{
+		{"callers", f.Listen.Callers},
+		{"upstream", f.Listen.Upstream},
+		{"peers", f.Listen.Peers},
+		{"operators", f.Listen.Operators},
+	} {
+		c.address("listen", l.key, l.value)
+		if other := seen[l.value]; other != "" && l.value != "" {
+			c.fail(c.line("listen", l.key), "listen.%s uses the same address as listen.%s", l.key, other)
+		}
+		seen[l.value] = l.key
+	}
+}
+
+func (c *settingsCheck) identity(f *settingsFile) {
+	switch f.Callers.Identity {
+	case "", identityAddress, identityHeader:
+	default:
+		c.fail(c.line("callers", "identity"), "callers.identity %q must be %q or %q",
+			f.Callers.Identity, identityAddress, identityHeader)
+	}
+}
+
+func (c *settingsCheck) transport(f *settingsFile) {
+	t := f.Transport
+	files := t.Certificate != "" && t.Key != "" && t.Authority != ""
+	none := t.Certificate == "" && t.Key == "" && t.Authority == ""
+	line := c.line("transport", "plain")
+	switch {
+	case t.Plain && !none:
+		c.fail(line, "transport.plain excludes certificate, key and authority")
+	case !t.Plain && !files:
+		c.fail(line, "transport needs certificate, key and authority, or plain: true")
+	}
+}
+
+func (c *settingsCheck) routes(f *settingsFile) {
+	for i, r := range f.Routes {
+		if r.Method == "" || !strings.HasPrefix(r.Prefix, "/") || r.Kind == "" {
+			c.fail(c.line("", "routes"), "route %d needs a method, a prefix that starts with / and a kind", i+1)
+		}
+	}
+}
--- /dev/null
+++ b/depot/spread.go
@@ -0,0 +1,308 @@
+package depot
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+	"cuminhollow.example/registry"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// sourcePlatform is the source of documents read from the platform.
+	sourcePlatform = "platform"
+	// documentsBytes bounds the documents of one message, in bytes. One
+	// document of the largest size fits.
+	documentsBytes = record.MaxBytes + record.MaxBytes/2
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = 2 * time.Second
+	// roleCheck is how often a node looks whether it is a reader.
+	roleCheck = time.Second
+)
+
+// spread keeps the documents in force up to date: from the platform where this
+// node reads it, and from peers.
+type spread struct {
+	self     string
+	zone     string
+	book     *record.Book
+	router   *dispatch.Router
+	peers    *peers
+	platform *platform
+	schedule registry.Schedule
+	log      zerolog.Logger
+	seeds    []string
+	fleet    atomic.Pointer[registry.Fleet]
+	// fresh counts the documents that came into force since the last push.
+	fresh chan *record.Document
+}
+
+// freshQueue bounds the documents that wait to be pushed; what does not fit
+// reaches peers by exchange.
+const freshQueue = 256
+
+func (s *spread) fleetNow() *registry.Fleet { return s.fleet.Load() }
+
+// offer takes a document from the platform or a peer.
+func (s *spread) offer(key string, body []byte, source string) {
+	change := s.book.OfferBody(key, body, source)
+	switch change.Verdict {
+	case record.VerdictSame, record.VerdictOlder:
+		return
+	case record.VerdictAccepted, record.VerdictConflict, record.VerdictInvalid:
+	}
+	s.log.Info().Str("event", "record-change").Str("key", key).
+		Uint64("from", change.From).Uint64("to", change.To).
+		Str("digest", change.Digest).Str("source", source).
+		Str("verdict", string(change.Verdict)).Str("reason", change.Reason).Send()
+	if change.Verdict == record.VerdictInvalid {
+		return
+	}
+	d := s.book.Snapshot().Document(key)
+	if r, ok := d.Content().(*record.Roster); ok {
+		s.router.Update(r)
+		s.fleet.Store(registry.NewFleet(s.self, s.zone, s.book.Snapshot()))
+	}
+	select {
+	case s.fresh <- d:
+	default:
+	}
+}
+
+// bootstrap reads the platform and the seeds before the node serves.
+func (s *spread) bootstrap(ctx context.Context) error {
+	_, err := s.platform.read(ctx, 0, s.fromPlatform)
+	for _, address := range s.seeds {
+		s.exchangeWith(ctx, registry.Member{VM: address, Address: address})
+	}
+	for range registry.Fanout {
+		if m, ok := s.fleetNow().Partner(rand.IntN); ok {
+			s.exchangeWith(ctx, m)
+		}
+	}
+	return err
+}
+
+func (s *spread) fromPlatform(key string, body []byte) { s.offer(key, body, sourcePlatform) }
+
+// run keeps documents up to date until ctx ends.
+func (s *spread) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.watch(ctx) })
+	g.Go(func() error { return s.fallback(ctx) })
+	g.Go(func() error { return s.exchange(ctx) })
+	g.Go(func() error { return s.push(ctx) })
+	return g.Wait()
+}
+
+// watch follows the platform while this node is a reader of its zone.
+func (s *spread) watch(ctx context.Context) error {
+	var index uint64
+	failures := 0
+	for ctx.Err() == nil {
+		if !s.fleetNow().Reader() {
+			index = 0
+			sleep(ctx, clock.FromDuration(roleCheck))
+			continue
+		}
+		next, err := s.platform.read(ctx, index, s.fromPlatform)
+		if err != nil {
+			failures++
+			index = 0
+			s.log.Warn().Str("event", "platform-read").Int("failures", failures).Err(err).Send()
+			sleep(ctx, s.schedule.Retry(failures))
+			continue
+		}
+		failures = 0
+		index = next
+	}
+	return nil
+}
+
+// fallback reads the platform at long intervals even if this node is no
+// reader.
+func (s *spread) fallback(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, s.schedule.Fallback(s.fleetNow().Size()))
+		if ctx.Err() != nil || s.fleetNow().Reader() {
+			continue
+		}
+		if _, err := s.platform.read(ctx, 0, s.fromPlatform); err != nil {
+			s.log.Warn().Str("event", "platform-fallback").Err(err).Send()
+		}
+	}
+	return nil
+}
+
+func (s *spread) exchange(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, s.schedule.Exchange())
+		if m, ok := s.fleetNow().Partner(rand.IntN); ok && ctx.Err() == nil {
+			s.exchangeWith(ctx, m)
+		}
+	}
+	return nil
+}
+
+// exchangeWith brings this node and a member to the same documents where their
+// summaries differ.
+func (s *spread) exchangeWith(ctx context.Context, m registry.Member) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	link, err := s.peers.get(m.VM, m.Address).connect(ctx)
+	if err != nil {
+		return
+	}
+	summary := s.book.Snapshot().Summary()
+	r, err := link.Do(ctx, &portage.Exchange{Summary: summary[:]})
+	listing, ok := r.(*portage.Listing)
+	if err != nil || !ok || len(listing.Buckets) == 0 {
+		return
+	}
+	wanted, surplus := compare(s.book.Snapshot(), listing)
+	if len(surplus) > 0 {
+		_ = link.Notify(ctx, &portage.Push{Documents: published(surplus)})
+	}
+	s.fetch(ctx, link, m, wanted)
+}
+
+func (s *spread) fetch(ctx context.Context, link *portage.Link, m registry.Member, keys []string) {
+	for len(keys) > 0 {
+		r, err := link.Do(ctx, &portage.Fetch{Keys: keys})
+		documents, ok := r.(*portage.Documents)
+		if err != nil || !ok || len(documents.Documents) == 0 {
+			return
+		}
+		for _, d := range documents.Documents {
+			s.offer(d.Key, d.Body, m.VM)
+		}
+		keys = keys[min(len(documents.Documents), len(keys)):]
+	}
+}
+
+// compare returns the keys that the listing has newer and the documents that
+// it lacks or has older.
+func compare(s *record.Snapshot, l *portage.Listing) (wanted []string, surplus []*record.Document) {
+	buckets := make(map[int]bool, len(l.Buckets))
+	for _, b := range l.Buckets {
+		buckets[b] = true
+	}
+	theirs := make(map[string]portage.Version, len(l.Versions))
+	for _, v := range l.Versions {
+		theirs[v.Key] = v
+		if d := s.Document(v.Key); d == nil || d.OlderThan(v.Revision, v.Digest) {
+			wanted = append(wanted, v.Key)
+		}
+	}
+	for _, d := range s.InBuckets(buckets) {
+		v, ok := theirs[d.Key()]
+		if !ok || d.NewerThan(v.Revision, v.Digest) {
+			surplus = append(surplus, d)
+		}
+	}
+	return wanted, surplus
+}
+
+// published returns the documents that fit into one message, at least one.
+func published(documents []*record.Document) []portage.Published {
+	var out []portage.Published
+	size := 0
+	for _, d := range documents {
+		size += len(d.Key()) + len(d.Body())
+		if size > documentsBytes && len(out) > 0 {
+			break
+		}
+		out = append(out, portage.Published{Key: d.Key(), Body: d.Body()})
+	}
+	return out
+}
+
+// push sends new documents on as they come into force.
+func (s *spread) push(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-s.fresh:
+			documents := s.drain(d)
+			for _, m := range s.fleetNow().Receivers(rand.IntN) {
+				s.pushTo(ctx, m, documents)
+			}
+		}
+	}
+}
+
+// drain collects the documents that are waiting already.
+func (s *spread) drain(first *record.Document) []*record.Document {
+	out := []*record.Document{first}
+	for {
+		select {
+		case d := <-s.fresh:
+			out = append(out, d)
+		default:
+			return out
+		}
+	}
+}
+
+func (s *spread) pushTo(ctx context.Context, m registry.Member, documents []*record.Document) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	link, err := s.peers.get(m.VM, m.Address).connect(ctx)
+	if err != nil {
+		return
+	}
+	_ = link.Notify(ctx, &portage.Push{Documents: published(documents)})
+}
+
+// listing answers an Exchange.
+func (s *spread) listing(q *portage.Exchange) *portage.Listing {
+	var theirs record.Summary
+	if copy(theirs[:], q.Summary) < len(theirs) {
+		return &portage.Listing{}
+	}
+	now := s.book.Snapshot()
+	buckets := now.Differing(theirs)
+	out := &portage.Listing{}
+	for b := range buckets {
+		out.Buckets = append(out.Buckets, b)
+	}
+	for _, d := range now.InBuckets(buckets) {
+		digest := d.Digest()
+		out.Versions = append(out.Versions, portage.Version{
+			Key:      d.Key(),
+			Revision: d.Revision(),
+			Digest:   digest[:],
+		})
+	}
+	return out
+}
+
+// documents answers a Fetch.
+func (s *spread) documents(q *portage.Fetch) *portage.Documents {
+	now := s.book.Snapshot()
+	var found []*record.Document
+	for _, key := range q.Keys {
+		if d := now.Document(key); d != nil {
+			found = append(found, d)
+		}
+	}
+	return &portage.Documents{Documents: published(found)}
+}
+
+// sleep waits for a span or until ctx ends.
+func sleep(ctx context.Context, span clock.Millis) {
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/depot/ticket.go
@@ -0,0 +1,141 @@
+package depot
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/claim"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/portage"
+)
+
+// outcomeWait is the longest wait of an outcome query for work in progress, in
+// milliseconds.
+const outcomeWait = 2 * clock.Second
+
+// TicketPath reserves a ticket with POST and the header of a kind of work, and
+// tells the outcome of a ticket with GET and the header of the ticket.
+const TicketPath = "/cuminhollow/tickets"
+
+// present carries a call with a ticket to the ticket's owner, and to no other.
+func (s *sender) present(o *order) *portage.Answer {
+	address, ok := s.addressOf(o.service, o.ticket.VM())
+	if !ok {
+		return unknown(reasonNoVM)
+	}
+	ctx, cancel := withDeadline(o.run.ctx, s.clock, o.run.deadline)
+	defer cancel()
+	p := s.peers.get(o.ticket.VM(), address)
+	link, err := p.connect(ctx)
+	if err != nil {
+		return unknown(reasonUnreachable)
+	}
+	c := o.call
+	c.Ticket = o.ticket.String()
+	grant := o.run.account.Grant()
+	c.Grant = grant.Size()
+	a, _, err := s.ask(ctx, link, &c, o)
+	if err != nil {
+		return unknown(reasonLost)
+	}
+	grant.Return(a.Unspent)
+	return a
+}
+
+// addressOf finds the address of a VM of a service.
+func (s *sender) addressOf(service, vm string) (string, bool) {
+	return s.router.Address(service, vm)
+}
+
+// tickets handles TicketPath.
+func (e *entry) tickets(w http.ResponseWriter, q *http.Request) {
+	name := q.Header.Get(HeaderKind)
+	p := e.book.Snapshot().Policy(name)
+	if p == nil {
+		e.refuse(w, name, nil, reasonNoKind)
+		return
+	}
+	switch q.Method {
+	case http.MethodPost:
+		e.reserve(w, q, name, p.Service(), booking.ClassOf(p.Protected(), p.Rank()))
+	case http.MethodGet:
+		e.outcomeOf(w, q, name, p.Service())
+	default:
+		w.Header().Set("Allow", "GET, POST")
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+// reserve gives out a ticket without running anything.
+func (e *entry) reserve(w http.ResponseWriter, q *http.Request, kind, service string, class booking.Class) {
+	if e.leaving.Load() {
+		e.refuse(w, kind, nil, reasonLeaving)
+		return
+	}
+	k, reason := e.sender.reserve(q, service, class)
+	if reason != "" {
+		e.refuse(w, kind, nil, reason)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderTicket, k.String())
+	_ = json.NewEncoder(w).Encode(map[string]string{"ticket": k.String()})
+}
+
+func (s *sender) reserve(q *http.Request, service string, class booking.Class) (claim.Ticket, string) {
+	var avoid []string
+	for range 3 {
+		pick, err := s.router.Pick(s.clock.Now(), dispatch.Request{Service: service, Class: class, Avoid: avoid})
+		if err != nil {
+			return claim.Ticket{}, pickReason(err)
+		}
+		avoid = append(avoid, pick.VM.Name())
+		p := s.peers.get(pick.VM.Name(), pick.VM.Address())
+		if _, err := p.connect(q.Context()); err != nil {
+			continue
+		}
+		if k := p.ticket(); !k.IsZero() {
+			return k, ""
+		}
+	}
+	return claim.Ticket{}, reasonUnreachable
+}
+
+// outcomeOf asks the owner of a ticket what became of it.
+func (e *entry) outcomeOf(w http.ResponseWriter, q *http.Request, kind, service string) {
+	k, err := claim.ParseTicket(q.Header.Get(HeaderTicket))
+	if err != nil {
+		e.refuse(w, kind, nil, reasonBadTicket)
+		return
+	}
+	o := &order{run: &run{}, ticket: k}
+	p := e.book.Snapshot().Policy(kind)
+	a := e.sender.query(q, service, k)
+	e.metrics.outcome(kind, a.Outcome, a.Reason)
+	e.write(w, o, p, a)
+}
+
+func (s *sender) query(q *http.Request, service string, k claim.Ticket) *portage.Answer {
+	address, ok := s.addressOf(service, k.VM())
+	if !ok {
+		return unknown(reasonNoVM)
+	}
+	ctx, cancel := withDeadline(q.Context(), s.clock, s.clock.Now()+outcomeWait)
+	defer cancel()
+	p := s.peers.get(k.VM(), address)
+	link, err := p.connect(ctx)
+	if err != nil {
+		return unknown(reasonUnreachable)
+	}
+	r, err := link.Do(ctx, &portage.Query{Ticket: k.String(), TimeLeftMS: int64(outcomeWait / 2)})
+	if err != nil {
+		return unknown(reasonLost)
+	}
+	a, ok := r.(*portage.Answer)
+	if !ok {
+		return unknown(reasonDamaged)
+	}
+	return a
+}
--- /dev/null
+++ b/depot/upstream.go
@@ -0,0 +1,129 @@
+package depot
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/portage"
+)
+
+// upstreamDial bounds the opening of a connection to the upstream.
+const upstreamDial = 500 * time.Millisecond
+
+// upstream runs calls on the VM's own upstream.
+type upstream struct {
+	address string
+	client  *http.Client
+}
+
+// runResult is what became of a call on the upstream.
+type runResult struct {
+	outcome portage.Outcome
+	reason  string
+	status  int
+	header  []portage.Field
+	body    []byte
+}
+
+func newUpstream(s upstreamSettings) *upstream {
+	dialer := &net.Dialer{Timeout: upstreamDial}
+	return &upstream{
+		address: s.Address,
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxConnsPerHost:     s.Connections,
+				MaxIdleConnsPerHost: s.Connections,
+				IdleConnTimeout:     time.Minute,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+	}
+}
+
+// do runs a call. The result is OutcomeNotRun only if no connection was ever
+// given to the request, or if the upstream says so.
+func (u *upstream) do(ctx context.Context, c *portage.Call, id string, left clock.Millis) runResult {
+	var written atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+	}
+	q, err := u.request(httptrace.WithClientTrace(ctx, trace), c)
+	if err != nil {
+		return runResult{outcome: portage.OutcomeNotRun, reason: reasonDamaged}
+	}
+	q.Header.Set(HeaderRun, id)
+	q.Header.Set(HeaderRequest, c.Request)
+	q.Header.Set(HeaderKind, c.Kind)
+	q.Header.Set(HeaderTimeLeft, strconv.FormatInt(int64(left), 10))
+	q.Header.Set(HeaderRank, strconv.Itoa(int(c.Class)))
+	res, err := u.client.Do(q)
+	if err != nil {
+		return failedRun(written.Load())
+	}
+	defer func() { _ = res.Body.Close() }()
+	return readRun(res)
+}
+
+func failedRun(written bool) runResult {
+	if !written {
+		return runResult{outcome: portage.OutcomeNotRun, reason: reasonUnreachable}
+	}
+	return runResult{outcome: portage.OutcomeUnknown, reason: reasonLost}
+}
+
+func readRun(res *http.Response) runResult {
+	body, err := io.ReadAll(io.LimitReader(res.Body, portage.MaxBody+1))
+	switch {
+	case err != nil, !framed(res):
+		return runResult{outcome: portage.OutcomeUnknown, reason: reasonLost}
+	case len(body) > portage.MaxBody:
+		return runResult{outcome: portage.OutcomeUnknown, reason: reasonTooLarge}
+	case res.Header.Get(HeaderOutcome) == portage.OutcomeNotRun.String():
+		return runResult{outcome: portage.OutcomeNotRun, reason: reasonOverload}
+	}
+	return runResult{
+		outcome: portage.OutcomeAnswered,
+		status:  res.StatusCode,
+		header:  passedFields(res.Header),
+		body:    body,
+	}
+}
+
+// framed reports whether the end of the body was marked: without a length, an
+// answer that was cut short looks whole.
+func framed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.ProtoMajor > 1
+}
+
+// request builds the HTTP request. Its body cannot be rewound, so that the
+// transport never sends it a second time on its own.
+func (u *upstream) request(ctx context.Context, c *portage.Call) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, c.Method, "http://"+u.address+c.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	addFields(q.Header, c.Header)
+	if host := q.Header.Get("Host"); host != "" {
+		q.Host = host
+		q.Header.Del("Host")
+	}
+	q.Body = io.NopCloser(bytes.NewReader(c.Body))
+	q.ContentLength = int64(len(c.Body))
+	return q, nil
+}
+
+// errShutdown is the cause of contexts that end with the node.
+var errShutdown = errors.New("depot: node has stopped")
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,30 @@
+package dispatch
+
+// Place is where a VM runs.
+type Place struct {
+	// Region and Zone are the names that rosters use.
+	Region, Zone string
+}
+
+// Tier orders VMs by their distance from the node.
+type Tier uint8
+
+// The tiers, nearest first.
+const (
+	TierZone Tier = iota
+	TierRegion
+	TierFar
+	tiers = 3
+)
+
+// tierOf returns how far other is from p.
+func (p Place) tierOf(other Place) Tier {
+	switch {
+	case p.Region != other.Region:
+		return TierFar
+	case p.Zone != other.Zone:
+		return TierRegion
+	default:
+		return TierZone
+	}
+}
--- /dev/null
+++ b/dispatch/target.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"math"
+	"sync/atomic"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
+)
+
+// Parameters of a Target.
+const (
+	// ejectAfter is the number of failures in a row that ejects a VM.
+	ejectAfter = 3
+	// ejectBase is the first span of ejection, doubled for each further
+	// failure up to ejectLimit, in milliseconds.
+	ejectBase  clock.Millis = 200
+	ejectLimit clock.Millis = 5 * clock.Second
+	// levelAge is how long a reported level is believed, in milliseconds.
+	levelAge clock.Millis = 300
+	// levelProbe is how often a call passes a level that refuses it, in
+	// milliseconds.
+	levelProbe clock.Millis = 50
+	// leavingAge is how long a VM's own notice of leaving is believed: longer
+	// than any planned stop, in milliseconds.
+	leavingAge clock.Millis = 10 * clock.Minute
+	// latencyWeight is the weight of a new duration in the mean.
+	latencyWeight = 0.2
+)
+
+// Target is what a node knows of one VM from its own traffic. It outlives
+// changes of the rosters. It is safe for concurrent use.
+type Target struct {
+	name     string
+	inFlight atomic.Int64
+	// latency holds the bits of the mean duration of a call, in milliseconds.
+	latency atomic.Uint64
+	// failures counts failures in a row.
+	failures     atomic.Int64
+	ejectedUntil atomic.Int64
+	// level is the first class that the VM refuses, believed until levelUntil.
+	level      atomic.Uint32
+	levelUntil atomic.Int64
+	nextProbe  atomic.Int64
+	// leavingUntil is past the present while the VM is said to leave.
+	leavingUntil atomic.Int64
+	retries      *ledger.Bucket
+}
+
+// NewTarget returns a target with no history.
+func NewTarget(name string) *Target {
+	t := &Target{name: name, retries: ledger.NewBucket()}
+	t.level.Store(booking.Classes)
+	return t
+}
+
+// Name returns the name of the VM.
+func (t *Target) Name() string { return t.name }
+
+// Retries returns the bucket that bounds the retries to the VM.
+func (t *Target) Retries() *ledger.Bucket { return t.retries }
+
+// InFlight returns the calls begun and not ended.
+func (t *Target) InFlight() int { return int(t.inFlight.Load()) }
+
+// Begin notes a call that is about to be sent.
+func (t *Target) Begin() { t.inFlight.Add(1) }
+
+// End notes the end of a call after a duration in milliseconds. A call that
+// failed says nothing of the duration.
+func (t *Target) End(now clock.Millis, duration float64, failed bool) {
+	t.inFlight.Add(-1)
+	if failed {
+		t.fail(now)
+		return
+	}
+	t.failures.Store(0)
+	old := math.Float64frombits(t.latency.Load())
+	t.latency.Store(math.Float64bits(old + latencyWeight*(duration-old)))
+}
+
+// Abandon notes the end of a call that the caller gave up.
+func (t *Target) Abandon() { t.inFlight.Add(-1) }
+
+// fail ejects the VM after several failures in a row. After the span one call
+// at a time tries it again.
+func (t *Target) fail(now clock.Millis) {
+	n := t.failures.Add(1)
+	if n < ejectAfter {
+		return
+	}
+	span := min(ejectBase<<min(n-ejectAfter, 8), ejectLimit)
+	t.ejectedUntil.Store(int64(now + span))
+}
+
+// SetLevel believes for a while that the VM refuses classes from level on.
+func (t *Target) SetLevel(now clock.Millis, level booking.Class) {
+	t.level.Store(uint32(level))
+	t.levelUntil.Store(int64(now + levelAge))
+}
+
+// SetLeaving stops new work to the VM: it said itself that it leaves.
+func (t *Target) SetLeaving(now clock.Millis) {
+	t.leavingUntil.Store(int64(now + leavingAge))
+}
+
+// Renew forgets that the VM was leaving or failing: a new process answers.
+func (t *Target) Renew() {
+	t.leavingUntil.Store(0)
+	t.ejectedUntil.Store(0)
+	t.failures.Store(0)
+	t.level.Store(booking.Classes)
+}
+
+// Leaving reports whether the VM said that it leaves.
+func (t *Target) Leaving(now clock.Millis) bool {
+	return int64(now) < t.leavingUntil.Load()
+}
+
+// Ejected reports whether the VM gets no work after its failures. Once the
+// span is over, a single call at a time is let through until one succeeds.
+func (t *Target) Ejected(now clock.Millis) bool {
+	if t.failures.Load() < ejectAfter {
+		return false
+	}
+	return int64(now) < t.ejectedUntil.Load() || t.inFlight.Load() > 0
+}
+
+// refuses reports whether the VM would refuse class.
+func (t *Target) refuses(now clock.Millis, class booking.Class) bool {
+	return uint32(class) > t.level.Load() && int64(now) < t.levelUntil.Load()
+}
+
+// probe reports whether a call may test a VM that refuses its class.
+func (t *Target) probe(now clock.Millis) bool {
+	next := t.nextProbe.Load()
+	return int64(now) >= next && t.nextProbe.CompareAndSwap(next, int64(now+levelProbe))
+}
+
+// score is lower for a better VM: the work that it would have in flight times
+// the time that it takes for each.
+func (t *Target) score() float64 {
+	return float64(t.inFlight.Load()+1) * (math.Float64frombits(t.latency.Load()) + 1)
+}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,4 @@
+// Command load is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// newLineWriter returns a writer that prints each event of the log as one line
+// of key=value pairs.
+func newLineWriter(out io.Writer) io.Writer {
+	return zerolog.ConsoleWriter{
+		Out:         out,
+		NoColor:     true,
+		TimeFormat:  time.RFC3339Nano,
+		PartsOrder:  []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
+		FormatLevel: func(v any) string { return "level=" + fmt.Sprint(v) },
+		FormatTimestamp: func(v any) string {
+			return "time=" + fmt.Sprint(v)
+		},
+		FormatFieldName:     func(v any) string { return fmt.Sprint(v) + "=" },
+		FormatFieldValue:    quoted,
+		FormatErrFieldName:  func(any) string { return "error=" },
+		FormatErrFieldValue: quoted,
+	}
+}
+
+// quoted quotes a value that would otherwise not read as one word.
+func quoted(v any) string {
+	text := fmt.Sprint(v)
+	if text == "" || strings.ContainsAny(text, " \t\n\"=") && !isQuoted(text) {
+		return strconv.Quote(text)
+	}
+	return text
+}
+
+func isQuoted(text string) bool {
+	_, err := strconv.Unquote(text)
+	return err == nil
+}
--- /dev/null
+++ b/node/main.go
@@ -0,0 +1,69 @@
+// Command node is the daemon that runs beside each upstream VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cuminhollow.example/depot"
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+)
+
+// exitUsage is the exit status for settings that cannot be used.
+const exitUsage = 2
+
+// version is set by the build.
+var version = "dev"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		os.Exit(exitUsage)
+	}
+}
+
+func command() *cli.Command {
+	settings := &cli.StringFlag{
+		Name:     "settings",
+		Usage:    "settings `FILE` in YAML",
+		Required: true,
+	}
+	return &cli.Command{
+		Name:    "node",
+		Usage:   "keep one VM of a service answering under overload",
+		Version: version,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "serve until SIGTERM, then stop gracefully", Flags: []cli.Flag{settings}, Action: run},
+			{Name: "check-settings", Usage: "check a settings file and exit", Flags: []cli.Flag{settings}, Action: check},
+		},
+	}
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	s, err := depot.LoadSettings(c.String("settings"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Printf("%s: settings of VM %s, service %s, are valid\n", c.String("settings"), s.VM(), s.Service())
+	return nil
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := depot.LoadSettings(c.String("settings"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	log := zerolog.New(newLineWriter(os.Stderr)).With().Timestamp().Logger()
+	n, err := depot.New(s, depot.WithLogger(log))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(n.Run(ctx))
+}
--- /dev/null
+++ b/portage/channel.go
@@ -0,0 +1,118 @@
+package portage
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// reply is what a waiting request gets: a response or an error.
+type reply struct {
+	response Response
+	err      error
+}
+
+// channel is one greeted connection of a Link and the requests that wait on
+// it.
+type channel struct {
+	conn    *conn
+	welcome Welcome
+
+	mu sync.Mutex
+	// last is the highest stream number used.
+	last    uint64
+	waiting map[uint64]chan reply
+	// failed is set when the connection is given up; no request is added
+	// afterwards.
+	failed error
+	// lastUse is when the number of waiting requests last left zero or
+	// returned to it.
+	lastUse time.Time
+}
+
+func newChannel(c *conn, w Welcome) *channel {
+	return &channel{
+		conn:    c,
+		welcome: w,
+		waiting: make(map[uint64]chan reply),
+		lastUse: time.Now(),
+	}
+}
+
+func (ch *channel) do(ctx context.Context, q Request) (Response, error) {
+	wait, err := ch.add(q)
+	if err != nil {
+		return nil, err
+	}
+	if err := ch.conn.post(q); err != nil {
+		ch.remove(q.streamID())
+		return nil, err
+	}
+	select {
+	case r := <-wait:
+		return r.response, r.err
+	case <-ctx.Done():
+		ch.remove(q.streamID())
+		_ = ch.conn.tryPost(&Cancel{Stream: q.streamID()})
+		return nil, &Error{Op: "receive", Kind: KindLost, Err: ctx.Err()}
+	}
+}
+
+func (ch *channel) add(q Request) (chan reply, error) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if ch.failed != nil {
+		return nil, &Error{Op: "send", Kind: KindNotSent, Err: ch.failed}
+	}
+	ch.last++
+	q.setStream(ch.last)
+	wait := make(chan reply, 1)
+	if len(ch.waiting) == 0 {
+		ch.lastUse = time.Now()
+	}
+	ch.waiting[ch.last] = wait
+	return wait, nil
+}
+
+func (ch *channel) remove(stream uint64) chan reply {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	wait := ch.waiting[stream]
+	delete(ch.waiting, stream)
+	if len(ch.waiting) == 0 {
+		ch.lastUse = time.Now()
+	}
+	return wait
+}
+
+// deliver hands r to the request that waits for it; a response that nothing
+// waits for is dropped.
+func (ch *channel) deliver(r Response) {
+	if wait := ch.remove(r.streamID()); wait != nil {
+		wait <- reply{response: r}
+	}
+}
+
+// fail ends all waiting requests.
+func (ch *channel) fail(err error) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if ch.failed == nil {
+		ch.failed = err
+	}
+	for stream, wait := range ch.waiting {
+		wait <- reply{err: err}
+		delete(ch.waiting, stream)
+	}
+}
+
+// load returns the number of waiting requests and the time since they became
+// some or none.
+func (ch *channel) load() (waiting int, since time.Duration) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	return len(ch.waiting), time.Since(ch.lastUse)
+}
+
+// tryPing probes the peer unless the send queue is full.
+func (ch *channel) tryPing() { _ = ch.conn.tryPost(&Ping{}) }
--- /dev/null
+++ b/portage/error.go
@@ -0,0 +1,54 @@
+package portage
+
+import "fmt"
+
+// ErrorKind classifies an Error.
+type ErrorKind uint8
+
+// The kinds of error of this package.
+const (
+	// KindNotSent marks a request of which no byte was written: it did not run.
+	KindNotSent ErrorKind = iota + 1
+	// KindLost marks a request whose answer did not arrive: it may have run.
+	KindLost
+	// KindFrame marks bytes that are no valid frame or message.
+	KindFrame
+	// KindSize marks a frame above the limit.
+	KindSize
+)
+
+// String returns the name used in logs.
+func (k ErrorKind) String() string {
+	switch k {
+	case KindNotSent:
+		return "not-sent"
+	case KindLost:
+		return "lost"
+	case KindFrame:
+		return "bad-frame"
+	case KindSize:
+		return "too-large"
+	default:
+		return "unknown"
+	}
+}
+
+// Error reports a failed operation on a connection.
+type Error struct {
+	// Op is the operation, such as "dial".
+	Op   string
+	Kind ErrorKind
+	// Err is the cause; it may be nil.
+	Err error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("portage: %s: %s", e.Op, e.Kind)
+	}
+	return fmt.Sprintf("portage: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/portage/frame.go
@@ -0,0 +1,121 @@
+package portage
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// MaxFrame is the largest payload of a frame, in bytes.
+	MaxFrame = 4 << 20
+	// MaxBody is the largest body of a call or an answer, in bytes.
+	MaxBody = 2 << 20
+	// headerSize is the length of a frame's header: four bytes of payload
+	// length, eight bytes of payload checksum, one byte of message type.
+	headerSize = 13
+	// readStep bounds how much memory a length that was announced but not sent
+	// can take, in bytes.
+	readStep = 64 << 10
+)
+
+var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// Checksum returns the checksum of a body.
+func Checksum(body []byte) uint64 { return xxhash.Sum64(body) }
+
+// AppendFrame appends the frame of m to dst. It returns an *Error of KindSize
+// when the payload is larger than MaxFrame.
+func AppendFrame(dst []byte, m Message) ([]byte, error) {
+	buf := bufferPool.Get().(*bytes.Buffer)
+	defer bufferPool.Put(buf)
+	buf.Reset()
+	if err := encode(buf, m); err != nil {
+		return nil, err
+	}
+	payload := buf.Bytes()
+	if len(payload) > MaxFrame {
+		return nil, &Error{Op: "write frame", Kind: KindSize}
+	}
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(payload)))
+	dst = binary.BigEndian.AppendUint64(dst, xxhash.Sum64(payload))
+	dst = append(dst, byte(m.messageType()))
+	return append(dst, payload...), nil
+}
+
+func encode(w io.Writer, m Message) error {
+	e := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(e)
+	e.Reset(w)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(m); err != nil {
+		return &Error{Op: "encode", Kind: KindFrame, Err: err}
+	}
+	return nil
+}
+
+// ReadFrame reads one message. It returns io.EOF at the end of the stream
+// between frames, an *Error of KindSize or KindFrame for bytes that are no
+// valid frame, and the reader's error otherwise.
+func ReadFrame(r io.Reader) (Message, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:4])
+	if size > MaxFrame {
+		return nil, &Error{Op: "read frame", Kind: KindSize}
+	}
+	payload, err := readPayload(r, int(size))
+	if err != nil {
+		return nil, err
+	}
+	if xxhash.Sum64(payload) != binary.BigEndian.Uint64(header[4:12]) {
+		return nil, &Error{Op: "read frame", Kind: KindFrame, Err: fmt.Errorf("checksum differs")}
+	}
+	return decode(messageType(header[12]), payload)
+}
+
+// readPayload grows the buffer as bytes arrive.
+func readPayload(r io.Reader, size int) ([]byte, error) {
+	if size <= readStep {
+		payload := make([]byte, size)
+		_, err := io.ReadFull(r, payload)
+		return payload, unexpected(err)
+	}
+	var buf bytes.Buffer
+	n, err := io.CopyN(&buf, r, int64(size))
+	if n < int64(size) {
+		return nil, unexpected(err)
+	}
+	return buf.Bytes(), nil
+}
+
+// unexpected turns the end of the stream within a frame into
+// io.ErrUnexpectedEOF.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func decode(t messageType, payload []byte) (Message, error) {
+	m := newMessage(t)
+	if m == nil {
+		return nil, &Error{Op: "decode", Kind: KindFrame, Err: fmt.Errorf("message type %d", t)}
+	}
+	d := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(d)
+	d.Reset(bytes.NewReader(payload))
+	if err := d.Decode(m); err != nil {
+		return nil, &Error{Op: "decode", Kind: KindFrame, Err: err}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/portage/link.go
@@ -0,0 +1,227 @@
+package portage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// ProtocolVersion is the version that Hello and Welcome carry.
+const ProtocolVersion = 1
+
+// Link sends requests to one peer over a connection that it dials when there
+// is something to send and replaces when it fails or goes silent. It is safe
+// for concurrent use. Create it with NewLink.
+type Link struct {
+	address  string
+	hello    Hello
+	settings settings
+
+	mu sync.Mutex
+	// current is nil when there is no usable connection.
+	current *channel
+	// dialling is closed when the dial in progress ends; nil when none is.
+	dialling chan struct{}
+	// dialErr is the result of the last dial that failed.
+	dialErr error
+	closed  bool
+}
+
+// NewLink returns a link to the node that listens at address. It dials nothing
+// yet.
+func NewLink(address string, hello Hello, opts ...Option) *Link {
+	hello.Version = ProtocolVersion
+	return &Link{address: address, hello: hello, settings: newSettings(opts)}
+}
+
+// Address returns the address of the peer.
+func (l *Link) Address() string { return l.address }
+
+// Connect returns what the peer said of itself on the present connection,
+// dialling one if there is none. It returns an *Error of KindNotSent.
+func (l *Link) Connect(ctx context.Context) (Welcome, error) {
+	ch, err := l.channel(ctx)
+	if err != nil {
+		return Welcome{}, err
+	}
+	return ch.welcome, nil
+}
+
+// Do sends q and waits for its response. The error is an *Error: KindNotSent
+// says that no byte of q left, KindLost that the response did not arrive; it
+// wraps the error of ctx when that ended first, in which case the peer is told
+// to cancel q.
+func (l *Link) Do(ctx context.Context, q Request) (Response, error) {
+	ch, err := l.channel(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return ch.do(ctx, q)
+}
+
+// Notify sends n without waiting for anything.
+func (l *Link) Notify(ctx context.Context, n Notice) error {
+	ch, err := l.channel(ctx)
+	if err != nil {
+		return err
+	}
+	return ch.conn.post(n)
+}
+
+// Connected reports whether the link has a connection.
+func (l *Link) Connected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current != nil
+}
+
+// Close closes the connection; requests that wait are lost.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	ch := l.current
+	l.mu.Unlock()
+	if ch != nil {
+		ch.conn.close()
+	}
+}
+
+// channel returns the present connection or waits for one dial, shared by all
+// that wait.
+func (l *Link) channel(ctx context.Context) (*channel, error) {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Err: net.ErrClosed}
+	}
+	if l.current != nil {
+		ch := l.current
+		l.mu.Unlock()
+		return ch, nil
+	}
+	if l.dialling == nil {
+		l.dialling = make(chan struct{})
+		go l.dial(l.dialling)
+	}
+	done := l.dialling
+	l.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Err: ctx.Err()}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil {
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Err: l.dialErr}
+	}
+	return l.current, nil
+}
+
+func (l *Link) dial(done chan struct{}) {
+	ch, err := l.open()
+	l.mu.Lock()
+	l.dialling = nil
+	l.current, l.dialErr = ch, err
+	if ch != nil && l.closed {
+		ch.conn.close()
+	}
+	l.mu.Unlock()
+	if ch != nil {
+		l.settings.onWelcome(ch.welcome)
+		go l.read(ch)
+		go l.watch(ch)
+	}
+	close(done)
+}
+
+func (l *Link) open() (*channel, error) {
+	raw, err := net.DialTimeout("tcp", l.address, l.settings.dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	deadline := time.Now().Add(l.settings.dialTimeout)
+	_ = raw.SetDeadline(deadline)
+	c := newConn(l.settings.client(raw, l.address))
+	welcome, err := l.greet(c)
+	if err != nil {
+		c.close()
+		return nil, err
+	}
+	_ = raw.SetReadDeadline(time.Time{})
+	return newChannel(c, *welcome), nil
+}
+
+func (l *Link) greet(c *conn) (*Welcome, error) {
+	hello := l.hello
+	if err := c.post(&hello); err != nil {
+		return nil, err
+	}
+	m, err := c.receive()
+	if err != nil {
+		return nil, err
+	}
+	welcome, ok := m.(*Welcome)
+	if !ok || welcome.Version != ProtocolVersion {
+		return nil, &Error{Op: "greet", Kind: KindFrame, Err: fmt.Errorf("unexpected %T", m)}
+	}
+	return welcome, nil
+}
+
+// read hands responses to the requests that wait for them.
+func (l *Link) read(ch *channel) {
+	for {
+		m, err := ch.conn.receive()
+		if err != nil {
+			l.drop(ch, err)
+			return
+		}
+		switch m := m.(type) {
+		case Response:
+			ch.deliver(m)
+		case Notice:
+			l.settings.onNotice(m)
+		}
+	}
+}
+
+// watch probes the connection while requests wait, abandons it when nothing
+// arrives, and closes it when it is idle.
+func (l *Link) watch(ch *channel) {
+	ticker := time.NewTicker(max(l.settings.pingAfter/2, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ch.conn.closed:
+			return
+		case <-ticker.C:
+		}
+		waiting, idle := ch.load()
+		quiet := min(ch.conn.quietFor(), idle)
+		switch {
+		case waiting > 0 && quiet > l.settings.silentAfter:
+			l.drop(ch, errors.New("connection is silent"))
+			return
+		case waiting > 0 && quiet > l.settings.pingAfter:
+			ch.tryPing()
+		case waiting == 0 && idle > l.settings.idleAfter:
+			l.drop(ch, errors.New("connection is idle"))
+			return
+		}
+	}
+}
+
+// drop abandons a connection: requests that wait on it are lost, new ones use
+// another.
+func (l *Link) drop(ch *channel, err error) {
+	l.mu.Lock()
+	if l.current == ch {
+		l.current = nil
+	}
+	l.mu.Unlock()
+	ch.conn.close()
+	ch.fail(&Error{Op: "receive", Kind: KindLost, Err: err})
+}
--- /dev/null
+++ b/portage/options.go
@@ -0,0 +1,111 @@
+package portage
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+)
+
+// The defaults of a Link and a Server, as durations.
+const (
+	defaultDialTimeout = time.Second
+	defaultPingAfter   = 100 * time.Millisecond
+	defaultSilentAfter = 400 * time.Millisecond
+	defaultIdleAfter   = time.Minute
+)
+
+type settings struct {
+	dialTimeout time.Duration
+	pingAfter   time.Duration
+	silentAfter time.Duration
+	idleAfter   time.Duration
+	tls         func() *tls.Config
+	onWelcome   func(Welcome)
+	onNotice    func(Notice)
+	maxConns    int
+}
+
+// Option changes a Link or a Server.
+type Option func(*settings)
+
+func newSettings(opts []Option) settings {
+	s := settings{
+		dialTimeout: defaultDialTimeout,
+		pingAfter:   defaultPingAfter,
+		silentAfter: defaultSilentAfter,
+		idleAfter:   defaultIdleAfter,
+		maxConns:    defaultMaxConns,
+		onWelcome:   func(Welcome) {},
+		onNotice:    func(Notice) {},
+	}
+	for _, o := range opts {
+		o(&s)
+	}
+	return s
+}
+
+// WithDialTimeout bounds dialling and the first exchange; the default is 1 s.
+func WithDialTimeout(d time.Duration) Option {
+	return func(s *settings) { s.dialTimeout = d }
+}
+
+// WithSilence sets after which quiet time a connection with waiting requests
+// is probed and abandoned; the defaults are 100 ms and 400 ms.
+func WithSilence(pingAfter, silentAfter time.Duration) Option {
+	return func(s *settings) {
+		s.pingAfter = pingAfter
+		s.silentAfter = silentAfter
+	}
+}
+
+// WithIdleAfter sets after which time without requests a Link closes its
+// connection; the default is one minute.
+func WithIdleAfter(d time.Duration) Option {
+	return func(s *settings) { s.idleAfter = d }
+}
+
+// WithTLS makes connections use the configuration that the function returns at
+// each handshake; the default is plain TCP.
+func WithTLS(config func() *tls.Config) Option {
+	return func(s *settings) { s.tls = config }
+}
+
+// WithOnWelcome calls f at each new connection of a Link; the default does
+// nothing.
+func WithOnWelcome(f func(Welcome)) Option {
+	return func(s *settings) { s.onWelcome = f }
+}
+
+// WithOnNotice calls f for each notice that the peer of a Link sends; the
+// default does nothing.
+func WithOnNotice(f func(Notice)) Option {
+	return func(s *settings) { s.onNotice = f }
+}
+
+// WithMaxConns bounds the connections that a Server holds; the default is
+// 4096.
+func WithMaxConns(n int) Option {
+	return func(s *settings) { s.maxConns = n }
+}
+
+func (s *settings) client(raw net.Conn, address string) net.Conn {
+	if s.tls == nil {
+		return raw
+	}
+	config := s.tls()
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err == nil {
+			config = config.Clone()
+			config.ServerName = host
+		}
+	}
+	return tls.Client(raw, config)
+}
+
+func (s *settings) server(raw net.Conn) net.Conn {
+	if s.tls == nil {
+		return raw
+	}
+	return tls.Server(raw, s.tls())
+}
--- /dev/null
+++ b/portage/server.go
@@ -0,0 +1,187 @@
+package portage
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// defaultMaxConns is the default of WithMaxConns.
+	defaultMaxConns = 4096
+	// maxStreams bounds the requests in work on one connection.
+	maxStreams = 4096
+	// acceptPause is the wait after a failed accept.
+	acceptPause = 10 * time.Millisecond
+	// settlePoll is how often Shutdown looks whether work is done.
+	settlePoll = 5 * time.Millisecond
+)
+
+// Peer is the process at the other end of a connection.
+type Peer struct {
+	// VM and Incarnation are as the process said in Hello.
+	VM          string
+	Incarnation uint64
+}
+
+// Handler answers the messages of peers. It is called by many goroutines.
+type Handler interface {
+	// Greet answers the Hello of a new connection.
+	Greet(Peer) Welcome
+	// Handle answers one request. Its context ends when the peer cancels the
+	// request or the connection is lost.
+	Handle(context.Context, Peer, Request) Response
+	// Notice takes a message without an answer.
+	Notice(Peer, Notice)
+}
+
+// Server accepts connections of peers. Create it with NewServer.
+type Server struct {
+	handler  Handler
+	settings settings
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	closed   bool
+	// inWork counts the requests that are not answered yet.
+	inWork atomic.Int64
+}
+
+// NewServer returns a server that gives messages to h.
+func NewServer(h Handler, opts ...Option) *Server {
+	return &Server{handler: h, settings: newSettings(opts), conns: make(map[*conn]bool)}
+}
+
+// Serve accepts connections until the listener is closed. It returns nil after
+// Close.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			if s.isClosed() || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		go s.serveConn(raw)
+	}
+}
+
+// Broadcast sends n on every open connection.
+func (s *Server) Broadcast(n Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.tryPost(n)
+	}
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		c.close()
+	}
+}
+
+// Shutdown waits until every request is answered and every answer is read by
+// its peer, then closes all connections. It returns the error of ctx when that
+// ends first; the connections are closed in that case too.
+func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.Close()
+	if err := s.settle(ctx, func() bool { return s.inWork.Load() == 0 }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.finish()
+	}
+	s.mu.Unlock()
+	return s.settle(ctx, func() bool { return s.connections() == 0 })
+}
+
+// settle polls until done holds.
+func (s *Server) settle(ctx context.Context, done func() bool) error {
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= s.settings.maxConns {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) serveConn(raw net.Conn) {
+	_ = raw.SetReadDeadline(time.Now().Add(s.settings.dialTimeout))
+	c := newConn(s.settings.server(raw))
+	defer c.close()
+	if !s.add(c) {
+		return
+	}
+	defer s.remove(c)
+	peer, err := s.greet(c)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	in := &inbound{
+		server: s,
+		conn:   c,
+		peer:   peer,
+		ctx:    ctx,
+		cancel: make(map[uint64]context.CancelCauseFunc),
+	}
+	in.read(raw)
+}
+
+func (s *Server) greet(c *conn) (Peer, error) {
+	m, err := c.receive()
+	if err != nil {
+		return Peer{}, err
+	}
+	hello, ok := m.(*Hello)
+	if !ok || hello.Version != ProtocolVersion {
+		return Peer{}, &Error{Op: "greet", Kind: KindFrame}
+	}
+	peer := Peer{VM: hello.VM, Incarnation: hello.Incarnation}
+	welcome := s.handler.Greet(peer)
+	welcome.Version = ProtocolVersion
+	return peer, c.post(&welcome)
+}
--- /dev/null
+++ b/record/parse.go
@@ -0,0 +1,216 @@
+package record
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// The schema versions that Parse reads.
+const (
+	SchemaV1 = 1
+	SchemaV2 = 2
+)
+
+// The prefixes of the platform's keys, which tell policies from rosters.
+const (
+	PolicyPrefix = "records/"
+	RosterPrefix = "vms/"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	linePattern = regexp.MustCompile(`line (\d+): (.*)`)
+)
+
+// Parse checks a document published under key and returns it. It returns an
+// *Error that lists every fault found. It keeps no reference to body.
+func Parse(key string, body []byte) (*Document, error) {
+	if len(body) > MaxBytes {
+		reason := fmt.Sprintf("%d bytes, more than the limit of %d", len(body), MaxBytes)
+		return nil, parseError(key, KindSize, Problem{Reason: reason})
+	}
+	var header struct {
+		Schema   *int   `yaml:"schema"`
+		Revision uint64 `yaml:"revision"`
+	}
+	if err := yaml.Unmarshal(body, &header); err != nil {
+		return nil, syntaxError(key, err)
+	}
+	if header.Schema == nil {
+		return nil, parseError(key, KindSchema, Problem{Line: 1, Reason: "schema is missing"})
+	}
+	c := checker{body: body}
+	if header.Revision == 0 {
+		c.fail("revision", "revision must be 1 or more")
+	}
+	content, err := decode(key, *header.Schema, body, &c)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.problems) > 0 {
+		return nil, parseError(key, KindValue, c.problems...)
+	}
+	d := &Document{
+		key:      key,
+		revision: header.Revision,
+		digest:   digestOf(body),
+		body:     bytes.Clone(body),
+		content:  content,
+	}
+	return d, nil
+}
+
+func decode(key string, schema int, body []byte, c *checker) (Content, error) {
+	isPolicy := strings.HasPrefix(key, PolicyPrefix)
+	switch {
+	case isPolicy && schema == SchemaV1:
+		v, err := strict[policyV1](key, body)
+		if err != nil {
+			return nil, err
+		}
+		return c.policy(key, v.policy()), nil
+	case isPolicy && schema == SchemaV2:
+		v, err := strict[policyV2](key, body)
+		if err != nil {
+			return nil, err
+		}
+		return c.policy(key, v.policy()), nil
+	case strings.HasPrefix(key, RosterPrefix) && schema == SchemaV1:
+		v, err := strict[rosterV1](key, body)
+		if err != nil {
+			return nil, err
+		}
+		return c.roster(key, v.roster()), nil
+	case !isPolicy && !strings.HasPrefix(key, RosterPrefix):
+		reason := fmt.Sprintf("key must start with %q or %q", PolicyPrefix, RosterPrefix)
+		return nil, parseError(key, KindValue, Problem{Reason: reason})
+	default:
+		reason := fmt.Sprintf("schema %d is not known to this version", schema)
+		return nil, parseError(key, KindSchema, Problem{Line: c.line("schema"), Reason: reason})
+	}
+}
+
+// strict decodes body into a T and refuses keys that T does not have.
+func strict[T any](key string, body []byte) (*T, error) {
+	d := yaml.NewDecoder(bytes.NewReader(body))
+	d.KnownFields(true)
+	var v T
+	if err := d.Decode(&v); err != nil {
+		return nil, syntaxError(key, err)
+	}
+	if err := d.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return nil, parseError(key, KindSyntax, Problem{Line: 1, Reason: "more than one document"})
+	}
+	return &v, nil
+}
+
+func parseError(key string, kind ErrorKind, problems ...Problem) *Error {
+	return &Error{Op: "parse", Kind: kind, Name: key, Problems: problems}
+}
+
+func syntaxError(key string, err error) *Error {
+	var t *yaml.TypeError
+	if !errors.As(err, &t) {
+		return parseError(key, KindSyntax, problemFrom(err.Error()))
+	}
+	problems := make([]Problem, 0, len(t.Errors))
+	for _, e := range t.Errors {
+		problems = append(problems, problemFrom(e))
+	}
+	return parseError(key, KindSyntax, problems...)
+}
+
+// problemFrom splits the line number from a message of the YAML library.
+func problemFrom(message string) Problem {
+	m := linePattern.FindStringSubmatch(message)
+	if m == nil {
+		return Problem{Line: 1, Reason: message}
+	}
+	line, err := strconv.Atoi(m[1])
+	if err != nil {
+		return Problem{Line: 1, Reason: message}
+	}
+	return Problem{Line: line, Reason: m[2]}
+}
+
+// checker collects the faults in the values of one document.
+type checker struct {
+	body     []byte
+	problems []Problem
+}
+
+func (c *checker) fail(field, format string, args ...any) {
+	p := Problem{Line: c.line(field), Reason: fmt.Sprintf(format, args...)}
+	c.problems = append(c.problems, p)
+}
+
+// line returns the first line that holds field as a key, or 1.
+func (c *checker) line(field string) int {
+	for i, l := range strings.Split(string(c.body), "\n") {
+		l = strings.TrimLeft(l, " -{")
+		if strings.HasPrefix(l, field+":") {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+func (c *checker) policy(key string, p *Policy) *Policy {
+	if !namePattern.MatchString(p.name) {
+		c.fail("name", "name %q must be 1 to 63 of a-z, 0-9 and -", p.name)
+	}
+	if key != PolicyPrefix+p.name {
+		c.fail("name", "name %q does not match the key %q", p.name, key)
+	}
+	if p.retired {
+		return p
+	}
+	if !namePattern.MatchString(p.service) {
+		c.fail("service", "service %q must be 1 to 63 of a-z, 0-9 and -", p.service)
+	}
+	if p.rank < 0 || p.rank > MaxRank {
+		c.fail("rank", "rank %d must be 0 to %d", p.rank, MaxRank)
+	}
+	if p.target < 1 || p.target > MaxTarget {
+		c.fail("target", "target %s must be 1ms to %s", p.target, MaxTarget)
+	}
+	if p.tries < 1 || p.tries > MaxTries {
+		c.fail("tries", "%d tries, the first included, must be 1 to %d", p.tries, MaxTries)
+	}
+	return p
+}
+
+func (c *checker) roster(key string, r *Roster) *Roster {
+	if key != RosterPrefix+r.service {
+		c.fail("service", "service %q does not match the key %q", r.service, key)
+	}
+	seen := make(map[string]bool, len(r.vms))
+	for _, v := range r.vms {
+		if seen[v.name] {
+			c.fail("vms", "VM %q is listed twice", v.name)
+		}
+		seen[v.name] = true
+		c.vm(v)
+	}
+	return r
+}
+
+func (c *checker) vm(v VM) {
+	if v.name == "" || v.region == "" || v.zone == "" {
+		c.fail("vms", "VM %q needs a name, a region and a zone", v.name)
+	}
+	if _, _, err := net.SplitHostPort(v.address); err != nil {
+		c.fail("vms", "VM %q: address %q must be host:port", v.name, v.address)
+	}
+	if v.state != StateLive && v.state != StateLeaving {
+		c.fail("vms", "VM %q: state %q must be %q or %q", v.name, v.state, StateLive, StateLeaving)
+	}
+}
--- /dev/null
+++ b/record/roster.go
@@ -0,0 +1,79 @@
+package record
+
+// VMState is what the platform says of a VM.
+type VMState string
+
+// The states of a VM in a roster.
+const (
+	StateLive    VMState = "live"
+	StateLeaving VMState = "leaving"
+)
+
+// VM is one entry of a roster. It is immutable.
+type VM struct {
+	name    string
+	region  string
+	zone    string
+	address string
+	state   VMState
+}
+
+// NewVM returns an entry. Address is the host and port of the VM's node for
+// its peers.
+func NewVM(name, region, zone, address string, state VMState) VM {
+	return VM{name: name, region: region, zone: zone, address: address, state: state}
+}
+
+// Name returns the name of the VM, unique in the fleet.
+func (v VM) Name() string { return v.name }
+
+// Region returns the region of the VM.
+func (v VM) Region() string { return v.region }
+
+// Zone returns the availability zone of the VM.
+func (v VM) Zone() string { return v.zone }
+
+// Address returns the host and port on which the VM's node listens for peers.
+func (v VM) Address() string { return v.address }
+
+// State returns the state that the platform lists; it may lag.
+func (v VM) State() VMState { return v.state }
+
+// Roster lists the VMs of one service. It is immutable.
+type Roster struct {
+	// service is never empty.
+	service string
+	// vms has no two entries of one name.
+	vms []VM
+}
+
+func (*Roster) isContent() {}
+
+// Service returns the service that the VMs run.
+func (r *Roster) Service() string { return r.service }
+
+// VMs returns the entries in the order written. Callers must not change them.
+func (r *Roster) VMs() []VM { return r.vms }
+
+type rosterV1 struct {
+	Schema   int    `yaml:"schema"`
+	Revision uint64 `yaml:"revision"`
+	Service  string `yaml:"service"`
+	VMs      []vmV1 `yaml:"vms"`
+}
+
+type vmV1 struct {
+	Name    string  `yaml:"name"`
+	Region  string  `yaml:"region"`
+	Zone    string  `yaml:"zone"`
+	Address string  `yaml:"address"`
+	State   VMState `yaml:"state"`
+}
+
+func (v *rosterV1) roster() *Roster {
+	vms := make([]VM, 0, len(v.VMs))
+	for _, m := range v.VMs {
+		vms = append(vms, NewVM(m.Name, m.Region, m.Zone, m.Address, m.State))
+	}
+	return &Roster{service: v.Service, vms: vms}
+}
--- /dev/null
+++ b/record/trail.go
@@ -0,0 +1,35 @@
+package record
+
+import "sync"
+
+// Trail is a bounded audit trail: it keeps the newest changes. Create it with
+// NewTrail. It is safe for concurrent use.
+type Trail struct {
+	mu sync.Mutex
+	// changes has at most limit entries, oldest first.
+	changes []Change
+	limit   int
+}
+
+// NewTrail returns a trail that keeps the newest limit changes, at least one.
+func NewTrail(limit int) *Trail {
+	return &Trail{limit: max(limit, 1)}
+}
+
+// Add appends c and drops the oldest change when the trail is full.
+func (t *Trail) Add(c Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.changes) == t.limit {
+		copy(t.changes, t.changes[1:])
+		t.changes = t.changes[:t.limit-1]
+	}
+	t.changes = append(t.changes, c)
+}
+
+// Changes returns a copy of the entries, oldest first.
+func (t *Trail) Changes() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Change(nil), t.changes...)
+}
--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// maxValue is the largest value, in bytes. One byte more is stored, so
+	// that tests can publish a value that readers must refuse.
+	maxValue = 1<<20 + 1
+	// maxWait bounds a watch.
+	maxWait = time.Minute
+)
+
+type listing struct {
+	Index uint64  `json:"index"`
+	Keys  []entry `json:"keys"`
+}
+
+type entry struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+func (s *store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/list", s.read(s.list))
+	mux.HandleFunc("GET /v1/watch", s.read(s.watch))
+	mux.HandleFunc("GET /v1/value", s.read(s.value))
+	mux.HandleFunc("PUT /admin/value", s.put)
+	mux.HandleFunc("POST /admin/mode", s.changeMode)
+	mux.HandleFunc("GET /admin/reads", s.count)
+	return mux
+}
+
+// read applies the rate limit and the outage to a reading path.
+func (s *store) read(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if !s.limit.Allow() {
+			http.Error(w, "too many reads", http.StatusTooManyRequests)
+			return
+		}
+		h(w, q)
+	}
+}
+
+func (s *store) list(w http.ResponseWriter, _ *http.Request) {
+	values, index, m, _ := s.view()
+	if m == modeDown {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	writeListing(w, values, index)
+}
+
+func writeListing(w http.ResponseWriter, values map[string]value, index uint64) {
+	out := listing{Index: index}
+	for _, key := range sortedKeys(values) {
+		out.Keys = append(out.Keys, entry{Key: key, Version: values[key].version})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// watch answers when the index has passed the one given, or after the wait.
+func (s *store) watch(w http.ResponseWriter, q *http.Request) {
+	known, err := strconv.ParseUint(q.URL.Query().Get("index"), 10, 64)
+	if err != nil {
+		http.Error(w, "index must be a number", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(q.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "wait must be a duration", http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(min(wait, maxWait))
+	defer timeout.Stop()
+	for {
+		values, index, m, changed := s.view()
+		if m == modeDown {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if index > known {
+			writeListing(w, values, index)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			writeListing(w, values, index)
+			return
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) value(w http.ResponseWriter, q *http.Request) {
+	values, _, m, _ := s.view()
+	v, ok := values[q.URL.Query().Get("key")]
+	switch {
+	case m == modeDown:
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	case !ok:
+		http.NotFound(w, q)
+	default:
+		_, _ = w.Write(v.body)
+	}
+}
+
+// put publishes a document.
+func (s *store) put(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxValue))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.publish(q.URL.Query().Get("key"), body)
+}
+
+func (s *store) changeMode(w http.ResponseWriter, q *http.Request) {
+	switch m := mode(q.URL.Query().Get("mode")); m {
+	case modeUp, modeDown, modeStale:
+		s.setMode(m)
+	default:
+		http.Error(w, "mode must be up, down or stale", http.StatusBadRequest)
+	}
+}
+
+// count tells how many reads were made.
+func (s *store) count(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.reads)
+}
--- /dev/null
+++ b/standin/platform/main.go
@@ -0,0 +1,64 @@
+// Command platform stands in for the configuration service in tests and in the
+// demo: it publishes documents that can be read and watched.
+//
+// Its publishing and fault paths below /admin are for tests only; no node
+// calls them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve documents from a folder as the configuration service would",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:9000", Usage: "`ADDRESS` to listen on"},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` with records/*.yaml and vms/*.yaml to publish at the start"},
+			&cli.IntFlag{Name: "rate", Value: defaultRate, Usage: "reads a `SECOND` that are answered"},
+		},
+		Action: serve,
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	s := newStore(c.Int("rate"))
+	if folder := c.String("folder"); folder != "" {
+		if err := s.load(folder); err != nil {
+			return trace.Wrap(err, "reading %s", folder)
+		}
+	}
+	server := &http.Server{
+		Addr:              c.String("listen"),
+		Handler:           s.handler(),
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
