depot: close the peers' port before waiting for its server

Cause: a planned stop never ended. Server.Serve sat in Accept until the deferred close of the listeners, which ran only after the wait for Serve. Ruled out: calls in flight (in_work was 0) and the HTTP servers (both had shut down within 5 ms). Before: proof.TestPlannedStop and TestPlannedStopOfEntry killed the node after 5 s. After: exit status 0, and no call was cut off.

--- a/depot/listen.go
+++ b/depot/listen.go
@@ -1,6 +1,9 @@
 package depot
 
-import "net"
+import (
+	"context"
+	"net"
+)
 
 // listeners are the open ports of a node.
 type listeners struct {
@@ -8,7 +11,7 @@
 }
 
 // listen opens all ports or none.
-func (n *Node) listen() (*listeners, error) {
+func (n *Node) listen(ctx context.Context) (*listeners, error) {
 	s := n.settings.listen
 	l := new(listeners)
 	for _, port := range []struct {
@@ -20,7 +23,7 @@
 		{s.Peers, &l.peers},
 		{s.Operators, &l.operators},
 	} {
-		opened, err := net.Listen("tcp", port.address)
+		opened, err := new(net.ListenConfig).Listen(ctx, "tcp", port.address)
 		if err != nil {
 			l.close()
 			return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
--- a/depot/node.go
+++ b/depot/node.go
@@ -151,7 +151,7 @@
 // finishes what is in flight, and returns nil. It returns an *Error when a port
 // cannot be opened.
 func (n *Node) Run(ctx context.Context) error {
-	listeners, err := n.listen()
+	listeners, err := n.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -174,7 +174,7 @@
 	case <-ctx.Done():
 	case <-gctx.Done():
 	}
-	n.stop(callers, onward)
+	n.stop(listeners.peers, callers, onward)
 	_ = operators.Close()
 	stopWork(errShutdown)
 	err = g.Wait()
@@ -210,12 +210,13 @@
 }
 
 // stop leaves, waits for the work in flight and closes the ports.
-func (n *Node) stop(callers, onward *http.Server) {
+func (n *Node) stop(peers net.Listener, callers, onward *http.Server) {
 	n.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	n.settle(ctx)
 	_ = callers.Shutdown(ctx)
+	_ = peers.Close()
 	_ = n.server.Shutdown(ctx)
 	_ = onward.Shutdown(ctx)
 	n.peers.close()
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -191,10 +191,10 @@
 }
 
 func (c *settingsCheck) check(f *settingsFile) {
-	c.required("", "vm", f.VM)
-	c.required("", "service", f.Service)
-	c.required("", "region", f.Region)
-	c.required("", "zone", f.Zone)
+	c.required("vm", f.VM)
+	c.required("service", f.Service)
+	c.required("region", f.Region)
+	c.required("zone", f.Zone)
 	c.ports(f)
 	c.address("upstream", "address", f.Upstream.Address)
 	c.positive("slots", f.Upstream.Slots)
@@ -217,9 +217,9 @@
 	c.routes(f)
 }
 
-func (c *settingsCheck) required(section, key, value string) {
+func (c *settingsCheck) required(key, value string) {
 	if value == "" {
-		c.fail(c.line(section, key), "%s is missing", key)
+		c.fail(c.line("", key), "%s is missing", key)
 	}
 }
 
--- a/node/log.go
+++ b/node/log.go
@@ -18,6 +18,7 @@
 		NoColor:     true,
 		TimeFormat:  time.RFC3339Nano,
 		PartsOrder:  []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
+		FieldsOrder: []string{"event"},
 		FormatLevel: func(v any) string { return "level=" + fmt.Sprint(v) },
 		FormatTimestamp: func(v any) string {
 			return "time=" + fmt.Sprint(v)
--- a/portage/frame.go
+++ b/portage/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -100,7 +101,7 @@
 // unexpected turns the end of the stream within a frame into
 // io.ErrUnexpectedEOF.
 func unexpected(err error) error {
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
 	return err
--- a/portage/link.go
+++ b/portage/link.go
@@ -139,7 +139,9 @@
 }
 
 func (l *Link) open() (*channel, error) {
-	raw, err := net.DialTimeout("tcp", l.address, l.settings.dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), l.settings.dialTimeout)
+	defer cancel()
+	raw, err := new(net.Dialer).DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, err
 	}
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -175,11 +175,15 @@
 // loadFor runs load for a span while during runs beside it.
 func loadFor(vms []*fleet.VM, kind string, workers int, span time.Duration, during func()) *tally {
 	stop := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		during()
 	}()
 	time.AfterFunc(span, func() { close(stop) })
-	return load(vms, kind, workers, stop)
+	results := load(vms, kind, workers, stop)
+	<-ended
+	return results
 }
 
 // checkTruth compares what callers were told of non-idempotent work with the
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -346,17 +346,7 @@
 func (f *Fleet) Runs(kind string) map[string]int {
 	out := make(map[string]int)
 	for _, v := range f.VMs {
-		res, err := f.client.Get("http://" + v.UpstreamAddress + "/admin/runs")
-		if err != nil {
-			continue
-		}
-		var log map[string]map[string]int
-		err = json.NewDecoder(res.Body).Decode(&log)
-		_ = res.Body.Close()
-		if err != nil {
-			continue
-		}
-		for id, n := range log[kind] {
+		for id, n := range f.logOf(v)[kind] {
 			out[id] += n
 		}
 	}
@@ -391,3 +381,37 @@
 		r.Close()
 	}
 }
+
+// Drain asks a VM's node to leave, as an operator would.
+func (f *Fleet) Drain(v *VM) error {
+	q, err := http.NewRequest(http.MethodPost, "http://"+v.OperatorAddress+"/v1/drain", nil)
+	if err != nil {
+		return err
+	}
+	return f.expectOK(q)
+}
+
+// RunsOn returns the number of runs that a VM's upstream logged.
+func (f *Fleet) RunsOn(v *VM) int {
+	n := 0
+	for _, kind := range f.logOf(v) {
+		for _, runs := range kind {
+			n += runs
+		}
+	}
+	return n
+}
+
+// logOf returns the log of a VM's upstream, or nil when it is down.
+func (f *Fleet) logOf(v *VM) map[string]map[string]int {
+	res, err := f.client.Get("http://" + v.UpstreamAddress + "/admin/runs")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	var log map[string]map[string]int
+	if err := json.NewDecoder(res.Body).Decode(&log); err != nil {
+		return nil
+	}
+	return log
+}
