--- /dev/null
+++ b/booking/desk_test.go
@@ -0,0 +1,266 @@
+package booking
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cuminhollow.example/clock"
+)
+
+// site drives a desk with random arrivals, ends and pauses and keeps its own
+// count of what must hold.
+type site struct {
+	now     clock.Millis
+	desk    *Desk
+	slots   int
+	running []*Call
+	waiting []*Call
+}
+
+// collect moves calls that were decided out of the waiting ones.
+func (s *site) collect(t *rapid.T) {
+	kept := s.waiting[:0]
+	for _, c := range s.waiting {
+		select {
+		case v := <-c.Decided():
+			if v == VerdictStart {
+				s.running = append(s.running, c)
+			}
+		default:
+			kept = append(kept, c)
+		}
+	}
+	s.waiting = kept
+	st := s.desk.Stats()
+	if st.Limit < 1 || st.Limit > s.slots {
+		t.Fatalf("limit: got %d, want 1 to %d", st.Limit, s.slots)
+	}
+	if st.Running != len(s.running) || st.Waiting != len(s.waiting) {
+		t.Fatalf("counts: got %+v, want %d running and %d waiting", st, len(s.running), len(s.waiting))
+	}
+	if st.Running > s.slots {
+		t.Fatalf("running: got %d, want at most %d", st.Running, s.slots)
+	}
+	if st.Waiting > 0 && st.Running < st.Limit {
+		t.Fatalf("got %d idle slots while %d calls wait, want none", st.Limit-st.Running, st.Waiting)
+	}
+}
+
+// TestDeskInvariants checks the limits, the counts and work conservation for
+// random load, service times, faults and pauses.
+func TestDeskInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &site{slots: rapid.IntRange(1, 20).Draw(t, "slots")}
+		s.desk = NewDesk(s.slots)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				class := Class(rapid.IntRange(0, Classes-1).Draw(t, "class"))
+				kind := fmt.Sprint("kind-", rapid.IntRange(0, 2).Draw(t, "kind"))
+				c := NewCall(class, kind, "caller", s.now+clock.Millis(rapid.IntRange(-10, 2000).Draw(t, "left")))
+				switch v := s.desk.Admit(s.now, c); v {
+				case VerdictStart:
+					s.running = append(s.running, c)
+				case VerdictQueued:
+					s.waiting = append(s.waiting, c)
+				case VerdictExpired, VerdictShed:
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(s.running) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(s.running)-1).Draw(t, "call")
+				c := s.running[i]
+				s.running = append(s.running[:i], s.running[i+1:]...)
+				r := Result(rapid.IntRange(int(ResultOK), int(ResultCancelled)).Draw(t, "result"))
+				s.desk.Done(s.now, c, r)
+			},
+			"cancel": func(t *rapid.T) {
+				if len(s.waiting) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(s.waiting)-1).Draw(t, "call")
+				if s.desk.Cancel(s.waiting[i]) {
+					s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+				}
+			},
+			"pause": func(t *rapid.T) {
+				s.now += clock.Millis(rapid.IntRange(0, 300).Draw(t, "span"))
+			},
+			"": s.collect,
+		})
+	})
+}
+
+// TestShedsUnprotectedFirst fills a desk with random work and checks that no
+// call is refused while one of a higher class keeps its place in the queue.
+func TestShedsUnprotectedFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := NewDesk(1, WithQueueLength(5), WithLimitPolicy(FixedLimit{}))
+		var waiting []*Call
+		for range rapid.IntRange(1, 60).Draw(t, "calls") {
+			class := Class(rapid.IntRange(0, Classes-1).Draw(t, "class"))
+			kind := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "kind"))
+			c := NewCall(class, kind, "", clock.Hour)
+			v := d.Admit(0, c)
+			lowest := class
+			kept := waiting[:0]
+			for _, w := range waiting {
+				select {
+				case <-w.Decided():
+					lowest = max(lowest, w.class)
+				default:
+					kept = append(kept, w)
+				}
+			}
+			shed := len(kept) < len(waiting) || v == VerdictShed
+			waiting = kept
+			if v == VerdictQueued {
+				waiting = append(waiting, c)
+			}
+			for _, w := range waiting {
+				if shed && w.class > lowest {
+					t.Fatalf("class %d was shed, want class %d shed first", lowest, w.class)
+				}
+			}
+		}
+	})
+}
+
+// TestFairShare floods a desk with one kind of a class: another kind of the
+// same class keeps what it asks for, up to half.
+func TestFairShare(t *testing.T) {
+	for _, demand := range []int{10, 30, 50, 80} {
+		t.Run(fmt.Sprint("demand-", demand), func(t *testing.T) {
+			served := flood(demand, 1000, "")
+			want := min(demand, 50) * 9 / 10
+			if got := served["modest"]; got < want {
+				t.Errorf("modest kind: got %d of 100 starts, want at least %d", got, want)
+			}
+			if got := served["modest"] + served["flood"]; got < 95 {
+				t.Errorf("all kinds: got %d of 100 starts, want at least 95", got)
+			}
+		})
+	}
+}
+
+// flood offers a desk that runs one call each millisecond modest and flood
+// calls per 100 ms, and returns the mean number of starts in 100 ms by kind.
+func flood(modest, flood int, caller string) map[string]int {
+	const rounds, span = 20, 100
+	d := NewDesk(1, WithLimitPolicy(FixedLimit{}), WithQueueLength(64))
+	served := make(map[string]int)
+	waiting := make(map[*Call]bool)
+	var running *Call
+	for now := clock.Millis(0); now < rounds*span; now++ {
+		if running != nil {
+			d.Done(now, running, ResultOK)
+			running = nil
+		}
+		arrive := func(kind string, perSpan int) {
+			n := int(now) * perSpan / span
+			for range (int(now)+1)*perSpan/span - n {
+				c := NewCall(unprotectedBase, kind, caller, now+400)
+				switch d.Admit(now, c) {
+				case VerdictStart:
+					running = c
+					served[kind]++
+				case VerdictQueued:
+					waiting[c] = true
+				case VerdictExpired, VerdictShed:
+				}
+			}
+		}
+		arrive("flood", flood)
+		arrive("modest", modest)
+		for c := range waiting {
+			select {
+			case v := <-c.Decided():
+				delete(waiting, c)
+				if v == VerdictStart {
+					running = c
+					served[c.kind]++
+				}
+			default:
+			}
+		}
+	}
+	for kind := range served {
+		served[kind] /= rounds
+	}
+	return served
+}
+
+// TestLimitAfterStep changes the upstream's capacity in steps: the limit comes
+// down at once when calls fail, and is back at the slots within two seconds
+// after they succeed again.
+func TestLimitAfterStep(t *testing.T) {
+	const slots = 64
+	d := NewDesk(slots)
+	now := clock.Millis(0)
+	run := func(span clock.Millis, r Result) int {
+		for end := now + span; now < end; now += 5 {
+			var calls []*Call
+			for range 2 * slots {
+				c := NewCall(0, "kind", "", now+clock.Hour)
+				if d.Admit(now, c) == VerdictStart {
+					calls = append(calls, c)
+				} else {
+					d.Cancel(c)
+				}
+			}
+			for _, c := range calls {
+				d.Done(now+5, c, r)
+			}
+		}
+		return d.Stats().Limit
+	}
+	if got, want := d.Stats().Limit, slots/coldFraction; got != want {
+		t.Errorf("cold start: got limit %d, want %d", got, want)
+	}
+	if got, want := run(2*clock.Second, ResultOK), slots; got != want {
+		t.Errorf("after 2 s of success: got limit %d, want %d", got, want)
+	}
+	if got, want := run(clock.Second, ResultOverload), slots/4; got > want {
+		t.Errorf("after 1 s of overload: got limit %d, want at most %d", got, want)
+	}
+	if got, want := run(2*clock.Second, ResultOK), slots; got != want {
+		t.Errorf("after 2 s of recovery: got limit %d, want %d", got, want)
+	}
+}
+
+func TestClassOf(t *testing.T) {
+	tests := []struct {
+		protected bool
+		rank      int
+		want      Class
+	}{
+		{true, 0, 0},
+		{true, 7, 7},
+		{false, 0, 8},
+		{false, 7, 15},
+		{false, 99, 15},
+		{true, -1, 0},
+	}
+	for _, tt := range tests {
+		got := ClassOf(tt.protected, tt.rank)
+		if got != tt.want || got.Protected() != tt.protected {
+			t.Errorf("ClassOf(%t, %d): got %d, want %d", tt.protected, tt.rank, got, tt.want)
+		}
+	}
+}
+
+// BenchmarkAdmit is the decision on the path of a request that finds a slot.
+func BenchmarkAdmit(b *testing.B) {
+	d := NewDesk(1<<20, WithLimitPolicy(FixedLimit{}))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c := NewCall(3, "kind", "caller", clock.Hour)
+			d.Admit(1, c)
+			d.Done(2, c, ResultOK)
+		}
+	})
+}
--- /dev/null
+++ b/claim/example_test.go
@@ -0,0 +1,29 @@
+package claim_test
+
+import (
+	"fmt"
+
+	"cuminhollow.example/claim"
+	"cuminhollow.example/clock"
+)
+
+// A ticket that is presented twice runs once; the second time it gets the
+// answer that was kept.
+func Example() {
+	size := func(s string) int { return len(s) }
+	table := claim.NewTable("kutch-a-1", 7, clock.NewSystem(), size)
+	session := table.OpenSession("dangs-b-2", 3)
+	ticket := claim.NewIssuer("kutch-a-1", 7, session).Next()
+
+	if _, ok := table.Present(ticket).(claim.Run[string]); ok {
+		table.Finish(ticket, "sealed")
+	}
+	switch r := table.Present(ticket).(type) {
+	case claim.Done[string]:
+		fmt.Println("kept answer:", r.Answer)
+	default:
+		fmt.Printf("%T\n", r)
+	}
+	// Output:
+	// kept answer: sealed
+}
--- a/claim/options.go
+++ b/claim/options.go
@@ -6,7 +6,7 @@
 const (
 	defaultRecords  = 1 << 16
 	defaultBytes    = 16 << 20
-	defaultSessions = 4096
+	defaultSessions = 1 << 15
 	// defaultIdle is how long an unused session is kept, in milliseconds.
 	defaultIdle = 10 * clock.Minute
 )
@@ -31,7 +31,7 @@
 	return func(l *limits) { l.bytes = n }
 }
 
-// WithSessions sets the most sessions kept; the default is 4096.
+// WithSessions sets the most sessions kept; the default is 32768.
 func WithSessions(n int) Option {
 	return func(l *limits) { l.sessions = n }
 }
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"slices"
@@ -12,6 +11,7 @@
 	"strings"
 
 	"cuminhollow.example/dispatch"
+	"cuminhollow.example/record"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -107,7 +107,9 @@
 	d := yaml.NewDecoder(bytes.NewReader(body))
 	d.KnownFields(true)
 	if err := d.Decode(&f); err != nil {
-		c.decodeError(err)
+		for _, p := range record.YAMLProblems(err) {
+			c.fail(p.Line, "%s", p.Reason)
+		}
 	}
 	c.check(&f)
 	if len(c.faults) > 0 {
@@ -145,33 +147,6 @@
 	}
 }
 
-func (c *settingsCheck) decodeError(err error) {
-	var t *yaml.TypeError
-	switch {
-	case errors.As(err, &t):
-		for _, e := range t.Errors {
-			c.libraryError(e)
-		}
-	case errors.Is(err, io.EOF):
-		c.fail(1, "the file is empty")
-	default:
-		c.libraryError(err.Error())
-	}
-}
-
-// libraryError takes the line number out of a message of the YAML library.
-func (c *settingsCheck) libraryError(message string) {
-	message = strings.TrimPrefix(message, "yaml: ")
-	rest, ok := strings.CutPrefix(message, "line ")
-	number, reason, found := strings.Cut(rest, ": ")
-	line, err := strconv.Atoi(number)
-	if !ok || !found || err != nil {
-		c.fail(1, "%s", message)
-		return
-	}
-	c.fail(line, "%s", reason)
-}
-
 // line returns the line of a key below a section, or of the section, or 1.
 func (c *settingsCheck) line(section, key string) int {
 	found, inSection := 1, section == ""
--- /dev/null
+++ b/record/book_test.go
@@ -0,0 +1,118 @@
+package record
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cuminhollow.example/clock"
+)
+
+func policyBody(revision, rank int) []byte {
+	return fmt.Appendf(nil, "schema: 1\nrevision: %d\nname: seal\nservice: sealing\nrank: %d\ntarget_ms: 10\ntries: 1\n", revision, rank)
+}
+
+// TestBookNeverReverts offers documents in any order, some invalid: the
+// revision in force never falls, and two books that saw the same documents in
+// different orders hold the same.
+func TestBookNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c clock.Manual
+		a, b := NewBook(&c), NewBook(&c)
+		var offered [][]byte
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			revision := rapid.IntRange(0, 6).Draw(t, "revision")
+			rank := rapid.IntRange(0, 9).Draw(t, "rank")
+			offered = append(offered, policyBody(revision, rank))
+		}
+		last := uint64(0)
+		for _, body := range offered {
+			a.OfferBody("records/seal", body, "a")
+			now := uint64(0)
+			if d := a.Snapshot().Document("records/seal"); d != nil {
+				now = d.Revision()
+			}
+			if now < last {
+				t.Fatalf("revision in force: got %d after %d, want no lower one", now, last)
+			}
+			last = now
+		}
+		for _, body := range rapid.Permutation(offered).Draw(t, "order") {
+			b.OfferBody("records/seal", body, "b")
+		}
+		if got, want := b.Snapshot().Summary(), a.Snapshot().Summary(); got != want {
+			t.Fatalf("other order: got summary %v, want %v", got, want)
+		}
+	})
+}
+
+// TestBookAudit checks the verdicts and the audit trail of a sequence of
+// offers.
+func TestBookAudit(t *testing.T) {
+	offers := []struct {
+		revision, rank int
+		want           Verdict
+		inForce        uint64
+	}{
+		{2, 1, VerdictAccepted, 2},
+		{2, 1, VerdictSame, 2},
+		{1, 1, VerdictOlder, 2},
+		{2, 5, VerdictConflict, 2},
+		{3, 9, VerdictInvalid, 2},
+		{3, 9, VerdictInvalid, 2},
+		{3, 1, VerdictAccepted, 3},
+	}
+	var c clock.Manual
+	b := NewBook(&c)
+	for i, o := range offers {
+		c.Advance(10)
+		got := b.OfferBody("records/seal", policyBody(o.revision, o.rank), "platform")
+		if got.Verdict != o.want {
+			t.Errorf("offer %d: got %s, want %s", i, got.Verdict, o.want)
+		}
+		if rev := b.Snapshot().Document("records/seal").Revision(); rev != o.inForce {
+			t.Errorf("offer %d: got revision %d in force, want %d", i, rev, o.inForce)
+		}
+	}
+	var verdicts []Verdict
+	for _, e := range b.Trail().Changes() {
+		verdicts = append(verdicts, e.Verdict)
+	}
+	want := []Verdict{VerdictAccepted, VerdictConflict, VerdictInvalid, VerdictAccepted}
+	if fmt.Sprint(verdicts) != fmt.Sprint(want) {
+		t.Errorf("trail: got %v, want %v", verdicts, want)
+	}
+}
+
+func TestTrailIsBounded(t *testing.T) {
+	trail := NewTrail(3)
+	for i := range 10 {
+		trail.Add(Change{To: uint64(i)})
+	}
+	changes := trail.Changes()
+	if len(changes) != 3 || changes[0].To != 7 || changes[2].To != 9 {
+		t.Errorf("trail: got %+v, want the changes 7 to 9", changes)
+	}
+}
+
+// BenchmarkOffer measures one change in a book of 8,000 documents.
+func BenchmarkOffer(b *testing.B) {
+	var c clock.Manual
+	book := NewBook(&c)
+	documents := make(map[string]*Document)
+	for i := range 8000 {
+		key := fmt.Sprint("records/k", i)
+		body := fmt.Appendf(nil, "schema: 1\nrevision: 1\nname: k%d\nservice: s\ntarget_ms: 1\ntries: 1\n", i)
+		d, err := Parse(key, body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		documents[key] = d
+	}
+	book.current.Store(newSnapshot(documents))
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		book.OfferBody("records/seal", policyBody(n+1, 1), "platform")
+	}
+}
--- a/record/parse.go
+++ b/record/parse.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"regexp"
-	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
@@ -25,10 +24,7 @@
 	RosterPrefix = "vms/"
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	linePattern = regexp.MustCompile(`line (\d+): (.*)`)
-)
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
 // Parse checks a document published under key and returns it. It returns an
 // *Error that lists every fault found. It keeps no reference to body.
@@ -117,28 +113,7 @@
 }
 
 func syntaxError(key string, err error) *Error {
-	var t *yaml.TypeError
-	if !errors.As(err, &t) {
-		return parseError(key, KindSyntax, problemFrom(err.Error()))
-	}
-	problems := make([]Problem, 0, len(t.Errors))
-	for _, e := range t.Errors {
-		problems = append(problems, problemFrom(e))
-	}
-	return parseError(key, KindSyntax, problems...)
-}
-
-// problemFrom splits the line number from a message of the YAML library.
-func problemFrom(message string) Problem {
-	m := linePattern.FindStringSubmatch(message)
-	if m == nil {
-		return Problem{Line: 1, Reason: message}
-	}
-	line, err := strconv.Atoi(m[1])
-	if err != nil {
-		return Problem{Line: 1, Reason: message}
-	}
-	return Problem{Line: line, Reason: m[2]}
+	return parseError(key, KindSyntax, YAMLProblems(err)...)
 }
 
 // checker collects the faults in the values of one document.
@@ -183,7 +158,11 @@
 		c.fail("target", "target %s must be 1ms to %s", p.target, MaxTarget)
 	}
 	if p.tries < 1 || p.tries > MaxTries {
-		c.fail("tries", "%d tries, the first included, must be 1 to %d", p.tries, MaxTries)
+		field := "tries"
+		if p.schema == SchemaV2 {
+			field = "retries"
+		}
+		c.fail(field, "%d tries, the first included, must be 1 to %d", p.tries, MaxTries)
 	}
 	return p
 }
--- /dev/null
+++ b/registry/fleet_test.go
@@ -0,0 +1,129 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/record"
+)
+
+// snapshotOf has one service with VMs "zone-number" in each zone.
+func snapshotOf(t testing.TB, zones, perZone int) *record.Snapshot {
+	t.Helper()
+	body := "schema: 1\nrevision: 1\nservice: s\nvms:\n"
+	for z := range zones {
+		for n := range perZone {
+			body += fmt.Sprintf("  - {name: z%d-%d, region: r, zone: z%d, address: \"h:1\", state: live}\n", z, n, z)
+		}
+	}
+	b := record.NewBook(new(clock.Manual))
+	if c := b.OfferBody("vms/s", []byte(body), "test"); c.Verdict != record.VerdictAccepted {
+		t.Fatalf("roster: got %+v, want it accepted", c)
+	}
+	return b.Snapshot()
+}
+
+// TestTwoReadersPerZone asks every node of a fleet whether it is a reader: in
+// each zone exactly two say yes.
+func TestTwoReadersPerZone(t *testing.T) {
+	const zones, perZone = 4, 30
+	s := snapshotOf(t, zones, perZone)
+	for z := range zones {
+		readers := 0
+		for n := range perZone {
+			if NewFleet(fmt.Sprintf("z%d-%d", z, n), fmt.Sprint("z", z), s).Reader() {
+				readers++
+			}
+		}
+		if got, want := readers, readersPerZone; got != want {
+			t.Errorf("zone %d: got %d readers, want %d", z, got, want)
+		}
+	}
+}
+
+func TestReaderAlone(t *testing.T) {
+	f := NewFleet("only", "z", record.NewBook(new(clock.Manual)).Snapshot())
+	if !f.Reader() || f.Size() != 1 {
+		t.Errorf("got reader %t, size %d, want a reader in a fleet of one", f.Reader(), f.Size())
+	}
+	if m, ok := f.Partner(rand.IntN); ok {
+		t.Errorf("partner: got %+v, want none", m)
+	}
+	if got := f.Receivers(rand.IntN); len(got) != 0 {
+		t.Errorf("receivers: got %v, want none", got)
+	}
+}
+
+// TestPushReachesZone follows a document through a zone of 714 nodes, the size
+// to design for: pushes alone reach nearly all nodes in a few rounds, and
+// exchanges bring it to the rest well within 16 s.
+func TestPushReachesZone(t *testing.T) {
+	const nodes = 714
+	random := rand.New(rand.NewPCG(7, 7))
+	s := snapshotOf(t, 1, nodes)
+	fleets := make(map[string]*Fleet, nodes)
+	for n := range nodes {
+		vm := fmt.Sprint("z0-", n)
+		fleets[vm] = NewFleet(vm, "z0", s)
+	}
+	has := map[string]bool{"z0-0": true}
+	fresh := []string{"z0-0"}
+	for len(fresh) > 0 {
+		var next []string
+		for _, vm := range fresh {
+			for _, m := range fleets[vm].Receivers(random.IntN) {
+				if !has[m.VM] {
+					has[m.VM] = true
+					next = append(next, m.VM)
+				}
+			}
+		}
+		fresh = next
+	}
+	if got, want := len(has), nodes*9/10; got < want {
+		t.Errorf("reached by pushes: got %d, want at least %d", got, want)
+	}
+	rounds := 0
+	for ; len(has) < nodes; rounds++ {
+		for vm, f := range fleets {
+			if m, ok := f.Partner(random.IntN); ok && has[m.VM] != has[vm] {
+				has[vm], has[m.VM] = true, true
+			}
+		}
+	}
+	// An exchange takes 3 s at most with its jitter.
+	if limit := 16 / 3; rounds > limit {
+		t.Errorf("rounds of exchanges: got %d, want at most %d", rounds, limit)
+	}
+}
+
+// TestFallbackRate adds up the reads of a fleet whose nodes hear nothing: they
+// stay below the platform's rate at every size.
+func TestFallbackRate(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	s := NewSchedule(random.Float64)
+	for _, size := range []int{10, 1000, 20_000} {
+		total := 0.0
+		for range size {
+			total += 1000 / float64(s.Fallback(size))
+		}
+		if limit := 1000.0; total > limit {
+			t.Errorf("fleet of %d: got %.0f reads a second, want at most %.0f", size, total, limit)
+		}
+	}
+}
+
+func TestRetryGrows(t *testing.T) {
+	s := NewSchedule(func() float64 { return 0.5 })
+	tests := []struct {
+		failures int
+		want     clock.Millis
+	}{{1, 500}, {2, 1000}, {5, 8000}, {100, 8000}}
+	for _, tt := range tests {
+		if got := s.Retry(tt.failures); got != tt.want {
+			t.Errorf("after %d failures: got %s, want %s", tt.failures, got, tt.want)
+		}
+	}
+}
