--- a/booking/desk.go
+++ b/booking/desk.go
@@ -9,9 +9,8 @@
 const (
 	// queuePerSlot is the default queue length for each slot.
 	queuePerSlot = 8
-	// probeInterval is how often a call that seems too late is let through, so
-	// that an estimate of a slow past is corrected, in milliseconds.
-	probeInterval clock.Millis = 100
+	// waitShare is the part of a call's spare time that it may wait.
+	waitShare = 0.25
 	// fullShare is the share of starts from which lower classes are taken to
 	// leave nothing.
 	fullShare = 0.98
@@ -31,7 +30,6 @@
 	waiting    int
 	maxWaiting int
 	queues     [Classes]classQueue
-	nextProbe  clock.Millis
 }
 
 // NewDesk returns a desk for an upstream with that many slots, at least one.
@@ -73,7 +71,7 @@
 		return VerdictStart
 	}
 	d.limiter.reached()
-	if d.hopeless(now, c) && !d.probe(now) {
+	if d.hopeless(now, c) {
 		return VerdictShed
 	}
 	if d.waiting >= d.maxWaiting && !d.makeRoom(c) {
@@ -94,30 +92,25 @@
 	return &d.queues[c.class]
 }
 
-// hopeless reports whether c would be too late after the calls ahead of it.
+// hopeless reports whether c would wait too long behind the calls ahead of it.
+// It may wait for a part of its time only: what waits longer is often
+// overtaken by more urgent work and then refused late.
 func (d *Desk) hopeless(now clock.Millis, c *Call) bool {
 	if _, ranked := d.policy.(RankedQueue); !ranked {
 		return false
 	}
-	ahead := d.queues[c.class].ahead(c.kind)
-	for i := range c.class {
-		ahead += d.queues[i].size
-	}
 	share := d.load.shareBefore(c.class)
 	if share >= fullShare {
 		return true
 	}
-	rate := float64(d.limiter.current()) * (1 - share)
-	wait := float64(ahead+1) * d.load.mean / rate
-	return float64(now)+wait+d.load.duration(c.kind) > float64(c.deadline)
-}
-
-func (d *Desk) probe(now clock.Millis) bool {
-	if now < d.nextProbe {
-		return false
+	ahead := d.queues[c.class].ahead(c.kind)
+	for i := range c.class {
+		ahead += d.queues[i].size
 	}
-	d.nextProbe = now + probeInterval
-	return true
+	rate := float64(d.limiter.current()) * (1 - share)
+	wait := float64(ahead+1) * d.load.all.mean / rate
+	left := float64(c.deadline-now) - d.load.likely(c.kind)
+	return wait > left*waitShare
 }
 
 // makeRoom evicts a call of the highest class that waits, unless that class
@@ -206,8 +199,7 @@
 	if _, ranked := d.policy.(RankedQueue); !ranked {
 		return false
 	}
-	late := float64(now)+d.load.duration(c.kind) > float64(c.deadline)
-	return late && !d.probe(now)
+	return float64(now)+d.load.likely(c.kind) > float64(c.deadline)
 }
 
 func (d *Desk) pop() *Call {
@@ -257,6 +249,6 @@
 		Limit:   d.limiter.current(),
 		Running: d.running,
 		Waiting: d.waiting,
-		Mean:    d.load.mean,
+		Mean:    d.load.all.mean,
 	}
 }
--- a/booking/limit.go
+++ b/booking/limit.go
@@ -24,7 +24,10 @@
 	limitWindow clock.Millis = 100
 	// coldFraction of the slots is the limit at the start.
 	coldFraction = 8
-	// growth is the factor by which a limit in use grows for each window.
+	// coldGrowth is the factor by which a limit in use grows for each window
+	// until the first window with too many faults.
+	coldGrowth = 2
+	// growth is the factor afterwards.
 	growth = 1.25
 	// decrease is the factor applied after a window with too many faults.
 	decrease = 0.7
@@ -44,6 +47,8 @@
 	ok, faults int
 	// used tells whether the limit was reached in the window.
 	used bool
+	// warm is set by the first window with too many faults.
+	warm bool
 }
 
 func newLimiter(policy LimitPolicy, slots int) limiter {
@@ -88,8 +93,16 @@
 	case total == 0:
 		return
 	case float64(l.faults) > faultShare*float64(total):
+		l.warm = true
 		l.limit = max(1, l.limit*decrease)
 	case l.used:
-		l.limit = min(float64(l.slots), max(l.limit+1, l.limit*growth))
+		l.limit = min(float64(l.slots), max(l.limit+1, l.limit*l.factor()))
 	}
 }
+
+func (l *limiter) factor() float64 {
+	if l.warm {
+		return growth
+	}
+	return coldGrowth
+}
--- a/booking/load.go
+++ b/booking/load.go
@@ -7,8 +7,6 @@
 	// loadWindow is the span over which starts and refusals are counted, in
 	// milliseconds.
 	loadWindow clock.Millis = 100
-	// durationWeight is the weight of a new duration in the mean.
-	durationWeight = 0.1
 	// maxKinds bounds the kinds whose durations are kept apart.
 	maxKinds = 256
 )
@@ -22,10 +20,10 @@
 
 // load estimates service times and what each class finds ahead of it.
 type load struct {
-	// mean is the mean duration of a run over all kinds, in milliseconds.
-	mean float64
-	// kinds holds the mean duration of each kind, in milliseconds.
-	kinds    map[string]float64
+	// all is the duration of a run over all kinds.
+	all duration
+	// kinds holds the duration of each kind; at most maxKinds.
+	kinds    map[string]*duration
 	current  window
 	previous window
 	end      clock.Millis
@@ -52,32 +50,29 @@
 func (l *load) refuse(c Class) { l.current.refused[c]++ }
 
 // finish learns the duration of a run, in milliseconds.
-func (l *load) finish(kind string, duration float64) {
-	l.mean = blend(l.mean, duration)
-	old, known := l.kinds[kind]
-	if !known && len(l.kinds) >= maxKinds {
-		return
-	}
-	if l.kinds == nil {
-		l.kinds = make(map[string]float64)
-	}
-	l.kinds[kind] = blend(old, duration)
-}
-
-func blend(old, sample float64) float64 {
-	if old == 0 {
-		return sample
+func (l *load) finish(kind string, span float64) {
+	l.all.add(span)
+	d := l.kinds[kind]
+	if d == nil {
+		if len(l.kinds) >= maxKinds {
+			return
+		}
+		if l.kinds == nil {
+			l.kinds = make(map[string]*duration)
+		}
+		d = new(duration)
+		l.kinds[kind] = d
 	}
-	return old + durationWeight*(sample-old)
+	d.add(span)
 }
 
-// duration returns the mean duration of a kind, or of all kinds when the kind
-// is new.
-func (l *load) duration(kind string) float64 {
-	if d, ok := l.kinds[kind]; ok {
-		return d
+// likely returns a time within which most runs of a kind end, or of all kinds
+// when the kind is new, in milliseconds.
+func (l *load) likely(kind string) float64 {
+	if d := l.kinds[kind]; d != nil {
+		return d.likely()
 	}
-	return l.mean
+	return l.all.likely()
 }
 
 // shareBefore returns the share of the starts that went to lower classes, from
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,241 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// The headers and the path of the nodes.
+const (
+	headerKind    = "Cuminhollow-Kind"
+	headerOutcome = "Cuminhollow-Outcome"
+	headerTicket  = "Cuminhollow-Ticket"
+	headerCaller  = "Cuminhollow-Caller"
+	ticketPath    = "/cuminhollow/tickets"
+)
+
+// The values of the outcome header.
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not-run"
+)
+
+const (
+	// pauseFirst is the wait before a node is asked again, doubled up to
+	// pauseLimit, each with jitter.
+	pauseFirst = 10 * time.Millisecond
+	pauseLimit = 500 * time.Millisecond
+)
+
+// Caller sends work through the nodes that it was given. It is safe for
+// concurrent use. Create it with New.
+type Caller struct {
+	entries []string
+	client  *http.Client
+	name    string
+	tickets bool
+	// next counts entries that were turned away from.
+	next atomic.Uint64
+}
+
+// New returns a caller that goes through entries, the host:port addresses of
+// nodes, nearest first.
+func New(entries []string, opts ...Option) *Caller {
+	c := &Caller{entries: entries, client: &http.Client{Transport: &http.Transport{}}, tickets: true}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Do sends w and returns the whole answer, whatever its status. It returns an
+// *Error when there is none by the end of ctx, which should have a deadline.
+func (c *Caller) Do(ctx context.Context, w Work) (*Answer, error) {
+	ticket := ""
+	if !w.Idempotent && c.tickets {
+		t, err := c.Reserve(ctx, w.Kind)
+		if err != nil {
+			return nil, err
+		}
+		ticket = t
+	}
+	return c.DoTicket(ctx, w, ticket)
+}
+
+// DoTicket is Do with a ticket of Reserve. Sending the same work with the same
+// ticket again runs it at most once and brings the same answer.
+func (c *Caller) DoTicket(ctx context.Context, w Work, ticket string) (*Answer, error) {
+	fault := &Error{Op: "do", Kind: KindNotRun, Ticket: ticket}
+	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
+		entry := c.entry()
+		a, err := c.try(ctx, entry, w, ticket)
+		if err == nil {
+			return a, nil
+		}
+		var e *Error
+		if errors.As(err, &e) {
+			return nil, err
+		}
+		c.turnFrom(entry)
+		fault.Err = err
+		if !isDial(err) {
+			fault.Kind = KindUnknown
+		}
+		// Without a ticket, work that may have run must not be sent again.
+		again := fault.Kind == KindNotRun || w.Idempotent || ticket != ""
+		if !again || !wait(ctx, pause) {
+			return nil, fault
+		}
+	}
+}
+
+// Reserve takes a ticket for work of a kind, which runs nothing.
+func (c *Caller) Reserve(ctx context.Context, kind string) (string, error) {
+	fault := &Error{Op: "reserve", Kind: KindNotRun}
+	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
+		entry := c.entry()
+		res, body, err := c.exchange(ctx, entry, http.MethodPost, ticketPath, http.Header{headerKind: {kind}}, nil)
+		switch {
+		case err != nil:
+			fault.Err = err
+		case res.StatusCode == http.StatusOK:
+			return res.Header.Get(headerTicket), nil
+		default:
+			fault.Reason = reasonOf(body)
+			return "", fault
+		}
+		c.turnFrom(entry)
+		if !wait(ctx, pause) {
+			return "", fault
+		}
+	}
+}
+
+// Outcome tells what became of the work of a ticket: its answer, or an *Error.
+// Asking for work that has not run yet refuses it for good.
+func (c *Caller) Outcome(ctx context.Context, kind, ticket string) (*Answer, error) {
+	fault := &Error{Op: "outcome", Kind: KindUnknown, Ticket: ticket}
+	h := http.Header{headerKind: {kind}, headerTicket: {ticket}}
+	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
+		entry := c.entry()
+		res, body, err := c.exchange(ctx, entry, http.MethodGet, ticketPath, h, nil)
+		if err == nil {
+			return read("outcome", res, body, ticket)
+		}
+		fault.Err = err
+		c.turnFrom(entry)
+		if !wait(ctx, pause) {
+			return nil, fault
+		}
+	}
+}
+
+// entry returns the node to go through.
+func (c *Caller) entry() string {
+	return c.entries[c.next.Load()%uint64(len(c.entries))]
+}
+
+// turnFrom makes the caller use another node, unless a concurrent call did.
+func (c *Caller) turnFrom(entry string) {
+	n := c.next.Load()
+	if c.entries[n%uint64(len(c.entries))] == entry {
+		c.next.CompareAndSwap(n, n+1)
+	}
+}
+
+func (c *Caller) try(ctx context.Context, entry string, w Work, ticket string) (*Answer, error) {
+	h := w.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	h.Set(headerKind, w.Kind)
+	if ticket != "" {
+		h.Set(headerTicket, ticket)
+	}
+	method, path := w.Method, w.Path
+	if method == "" {
+		method = http.MethodPost
+	}
+	if path == "" {
+		path = "/"
+	}
+	res, body, err := c.exchange(ctx, entry, method, path, h, w.Body)
+	if err != nil {
+		return nil, err
+	}
+	return read("do", res, body, ticket)
+}
+
+// exchange sends one HTTP request. The body cannot be rewound, so that the
+// transport does not send it a second time on its own.
+func (c *Caller) exchange(ctx context.Context, entry, method, path string, h http.Header, body []byte) (*http.Response, []byte, error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	q.Header = h
+	if c.name != "" {
+		q.Header.Set(headerCaller, c.name)
+	}
+	q.Body = io.NopCloser(bytes.NewReader(body))
+	q.ContentLength = int64(len(body))
+	res, err := c.client.Do(q)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return res, text, err
+}
+
+// read turns a node's answer into the upstream's or into an *Error.
+func read(op string, res *http.Response, body []byte, ticket string) (*Answer, error) {
+	if t := res.Header.Get(headerTicket); t != "" {
+		ticket = t
+	}
+	switch res.Header.Get(headerOutcome) {
+	case outcomeAnswered:
+		return &Answer{Status: res.StatusCode, Header: res.Header, Body: body, Ticket: ticket}, nil
+	case outcomeNotRun:
+		return nil, &Error{Op: op, Kind: KindNotRun, Reason: reasonOf(body), Ticket: ticket}
+	default:
+		return nil, &Error{Op: op, Kind: KindUnknown, Reason: reasonOf(body), Ticket: ticket}
+	}
+}
+
+func reasonOf(body []byte) string {
+	var p struct {
+		Reason string `json:"reason"`
+	}
+	if json.Unmarshal(body, &p) != nil {
+		return ""
+	}
+	return p.Reason
+}
+
+// isDial reports whether err says that no connection was made.
+func isDial(err error) bool {
+	var e *net.OpError
+	return errors.As(err, &e) && e.Op == "dial"
+}
+
+// wait pauses for a random span up to twice pause; it reports whether ctx is
+// still alive.
+func wait(ctx context.Context, pause time.Duration) bool {
+	t := time.NewTimer(rand.N(2 * pause))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/caller/example_test.go
@@ -0,0 +1,27 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"cuminhollow.example/caller"
+)
+
+// A caller that is refused learns that its work did not run.
+func Example() {
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Cuminhollow-Outcome", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprint(w, `{"reason":"overload"}`)
+	}))
+	defer node.Close()
+
+	c := caller.New([]string{strings.TrimPrefix(node.URL, "http://")})
+	_, err := c.Do(context.Background(), caller.Work{Kind: "history", Idempotent: true})
+	fmt.Println(err)
+	// Output:
+	// caller: do: not-run: overload
+}
--- /dev/null
+++ b/cuminhollow/ask.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// askTimeout bounds the question to one node.
+	askTimeout = 5 * time.Second
+	// askAtOnce is the number of nodes asked at a time.
+	askAtOnce = 32
+)
+
+// reply is what one node answered.
+type reply[T any] struct {
+	Node  string `json:"node"`
+	Value T      `json:"value"`
+	// Error is set when the node did not answer.
+	Error string `json:"error,omitempty"`
+}
+
+func nodesOf(c *cli.Command) ([]string, error) {
+	var out []string
+	for _, entry := range c.StringSlice("nodes") {
+		for address := range strings.SplitSeq(entry, ",") {
+			out = append(out, strings.TrimSpace(address))
+		}
+	}
+	if len(out) == 0 {
+		return nil, trace.BadParameter("no node named: use --nodes or CUMINHOLLOW_NODES")
+	}
+	return out, nil
+}
+
+// ask puts one question to all nodes. The error says that none answered.
+func ask[T any](ctx context.Context, c *cli.Command, method, path string) ([]reply[T], error) {
+	nodes, err := nodesOf(c)
+	if err != nil {
+		return nil, err
+	}
+	replies := make([]reply[T], len(nodes))
+	slots := make(chan struct{}, askAtOnce)
+	var wg sync.WaitGroup
+	for i, node := range nodes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			replies[i] = askOne[T](ctx, node, method, path)
+		}()
+	}
+	wg.Wait()
+	for _, r := range replies {
+		if r.Error == "" {
+			return replies, nil
+		}
+	}
+	return nil, trace.ConnectionProblem(nil, "no node answered: %s: %s", replies[0].Node, replies[0].Error)
+}
+
+func askOne[T any](ctx context.Context, node, method, path string) reply[T] {
+	out := reply[T]{Node: node}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, nil)
+	if err != nil {
+		out.Error = err.Error()
+		return out
+	}
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		out.Error = err.Error()
+		return out
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		out.Error = fmt.Sprintf("status %d", res.StatusCode)
+		return out
+	}
+	if err := json.NewDecoder(res.Body).Decode(&out.Value); err != nil {
+		out.Error = err.Error()
+	}
+	return out
+}
--- /dev/null
+++ b/cuminhollow/check.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"cuminhollow.example/depot"
+	"cuminhollow.example/record"
+)
+
+// check reads every file and reports all faults of all files.
+func check(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return trace.BadParameter("no file named")
+	}
+	var faults []string
+	for _, file := range c.Args().Slice() {
+		d, err := load(file)
+		if err != nil {
+			faults = append(faults, err.Error())
+			continue
+		}
+		if _, err := fmt.Fprintf(c.Root().Writer, "%s: %s revision %d is valid\n", file, d.Key(), d.Revision()); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if len(faults) > 0 {
+		return trace.BadParameter("%s", strings.Join(faults, "\n"))
+	}
+	return nil
+}
+
+// load parses a file under the key that its content names: the file's name
+// without ending, below records or vms.
+func load(file string) (*record.Document, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	prefix := record.PolicyPrefix
+	if filepath.Base(filepath.Dir(file)) == strings.TrimSuffix(record.RosterPrefix, "/") {
+		prefix = record.RosterPrefix
+	}
+	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	d, err := record.Parse(prefix+name, body)
+	var e *record.Error
+	if errors.As(err, &e) {
+		e.Name = file
+	}
+	return d, err
+}
+
+// diff shows the lines that a record would change, and whether it would come
+// into force.
+func diff(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return trace.BadParameter("name one file")
+	}
+	d, err := load(c.Args().First())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	replies, err := ask[depot.Explanation](ctx, c, http.MethodGet, "/v1/explain?kind="+strings.TrimPrefix(d.Key(), record.PolicyPrefix))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	p, ok := d.Content().(*record.Policy)
+	if !ok {
+		return trace.BadParameter("%s is not a record of a kind of work", c.Args().First())
+	}
+	t := table{head: []string{"NODE", "FIELD", "IN FORCE", "NEW"}}
+	for _, r := range replies {
+		compare(&t, r, d, p)
+	}
+	return show(c, replies, &t)
+}
+
+func compare(t *table, r reply[depot.Explanation], d *record.Document, p *record.Policy) {
+	if r.Error != "" {
+		t.add(r.Node, "error", r.Error, "")
+		return
+	}
+	e := r.Value
+	for _, f := range []struct {
+		name     string
+		old, new any
+	}{
+		{"revision", e.Revision, d.Revision()},
+		{"schema", e.Schema, p.Schema()},
+		{"service", e.Service, p.Service()},
+		{"rank", e.Rank, p.Rank()},
+		{"target_ms", e.TargetMS, int64(p.Target())},
+		{"tries", e.Tries, p.Tries()},
+		{"idempotent", e.Idempotent, p.Idempotent()},
+		{"protected", e.Protected, p.Protected()},
+		{"retired", e.Retired, p.Retired()},
+	} {
+		if fmt.Sprint(f.old) != fmt.Sprint(f.new) {
+			t.add(r.Node, f.name, f.old, f.new)
+		}
+	}
+	if e.Found && d.Revision() <= e.Revision && d.Digest().String() != e.Digest {
+		t.add(r.Node, "warning", "the revision is not higher", "it would not replace the record in force")
+	}
+}
--- /dev/null
+++ b/cuminhollow/command_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func runCommand(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := command(&out).Run(t.Context(), append([]string{"cuminhollow"}, args...))
+	return out.String(), err
+}
+
+// fakeNode answers the paths of a node's operators' port with fixed reports.
+func fakeNode(t *testing.T) string {
+	t.Helper()
+	reports := map[string]string{
+		"/v1/status":  `{"vm":"seal-1","service":"sealing","zone":"kutch-a","ready":true,"limit":70,"refusing":13}`,
+		"/v1/explain": `{"kind":"seal","found":true,"revision":4,"digest":"aa","schema":1,"service":"sealing","rank":1,"target_ms":800,"tries":3,"now":"served"}`,
+		"/v1/audit":   `[{"at_ms":5,"key":"records/seal","from":3,"to":4,"source":"platform","verdict":"accepted"}]`,
+		"/v1/records": `[{"key":"records/seal","revision":4,"digest":"aa"}]`,
+		"/v1/drain":   `{"vm":"seal-1","leaving":true}`,
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = w.Write([]byte(reports[q.URL.Path]))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestReports(t *testing.T) {
+	node := fakeNode(t)
+	tests := []struct {
+		args []string
+		want []string
+	}{
+		{[]string{"status"}, []string{"seal-1", "ready", "unprotected from rank 5"}},
+		{[]string{"status", "--output", "json"}, []string{`"limit": 70`}},
+		{[]string{"explain", "seal"}, []string{"served", "800ms"}},
+		{[]string{"audit"}, []string{"records/seal", "accepted", "platform"}},
+		{[]string{"rollout"}, []string{"records/seal", "1 of 2"}},
+		{[]string{"rollout", "records/other"}, []string{"REVISION"}},
+		{[]string{"drain"}, []string{"leaving"}},
+	}
+	for _, tt := range tests {
+		t.Run(strings.Join(tt.args, " "), func(t *testing.T) {
+			args := append([]string{tt.args[0], "--nodes", node + ",127.0.0.1:1"}, tt.args[1:]...)
+			got, err := runCommand(t, args...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, want := range tt.want {
+				if !strings.Contains(got, want) {
+					t.Errorf("got\n%s\nwant it to hold %q", got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestBadUse(t *testing.T) {
+	tests := []struct {
+		args []string
+		want string
+	}{
+		{[]string{"status"}, "no node named"},
+		{[]string{"status", "--nodes", "127.0.0.1:1"}, "no node answered"},
+		{[]string{"explain"}, "name a kind"},
+		{[]string{"check"}, "no file named"},
+		{[]string{"check", "missing.yaml"}, "missing.yaml"},
+		{[]string{"status", "--nodes", fakeNode(t), "--output", "xml"}, `"xml" must be`},
+	}
+	for _, tt := range tests {
+		t.Run(strings.Join(tt.args, " "), func(t *testing.T) {
+			if _, err := runCommand(t, tt.args...); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("got %v, want an error about %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestCheckAndDiff checks a good and a bad record, and compares the good one
+// with the record in force.
+func TestCheckAndDiff(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, body string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := write("seal.yaml", "schema: 1\nrevision: 5\nname: seal\nservice: sealing\nrank: 2\ntarget_ms: 800\ntries: 3\n")
+	bad := write("lot.yaml", "schema: 1\nrevision: 5\nname: lot\nservice: dispatching\nrank: 9\ntarget_ms: 0\ntries: 1\n")
+	got, err := runCommand(t, "check", good, bad)
+	if !strings.Contains(got, "records/seal revision 5 is valid") {
+		t.Errorf("good record: got %q, want it valid", got)
+	}
+	for _, want := range []string{"lot.yaml:5: rank 9", "lot.yaml:6: target 0s"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("bad record: got %v, want an error with %q", err, want)
+		}
+	}
+	got, err = runCommand(t, "diff", "--nodes", fakeNode(t), good)
+	if err != nil || !strings.Contains(got, "rank") || !strings.Contains(got, "revision") {
+		t.Errorf("diff: got %q, %v, want the fields that change", got, err)
+	}
+}
--- /dev/null
+++ b/cuminhollow/table.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+// The formats of --output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// table is a report for people.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, c := range cells {
+		row = append(row, fmt.Sprint(c))
+	}
+	t.rows = append(t.rows, row)
+}
+
+func (t *table) write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{t.head}, t.rows...) {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// show prints a report in the format that was asked for.
+func show(c *cli.Command, value any, t *table) error {
+	out := c.Root().Writer
+	switch format := c.String("output"); format {
+	case outputJSON:
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return trace.Wrap(e.Encode(value))
+	case outputTable:
+		return trace.Wrap(t.write(out))
+	default:
+		return trace.BadParameter("output %q must be %q or %q", format, outputTable, outputJSON)
+	}
+}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"cuminhollow.example/claim"
@@ -30,7 +31,9 @@
 	avoid []string
 	// ticket is that of the last attempt; zero for idempotent work.
 	ticket claim.Ticket
-	tries  int
+	// tries counts the attempts; maxTries is that of the kind's record.
+	tries    int
+	maxTries int
 }
 
 // sender sends orders to owners and decides on retries.
@@ -39,6 +42,11 @@
 	router  *dispatch.Router
 	peers   *peers
 	metrics *metrics
+	// perHop makes each hop retry up to its record's tries without a common
+	// bound. It is a baseline for measurements.
+	perHop bool
+	// early makes the node heed the admission levels of owners.
+	early bool
 }
 
 // send carries out an order. It tries another owner only while that cannot run
@@ -57,6 +65,10 @@
 	if o.run.ctx.Err() != nil || s.clock.Now() >= o.run.deadline {
 		return false
 	}
+	if s.perHop {
+		o.avoid = nil
+		return o.tries < o.maxTries
+	}
 	last := o.avoid[len(o.avoid)-1]
 	if !s.router.Target(last).Retries().Retry() {
 		return false
@@ -105,13 +117,15 @@
 	now := s.clock.Now()
 	switch {
 	case err == nil:
-		pick.Target.End(now, millisSince(began), false)
-		pick.Target.SetLevel(now, levelOf(a))
+		pick.Target.End(millisSince(began), a.Status >= http.StatusInternalServerError)
+		if s.early {
+			pick.Target.SetLevel(now, levelOf(a))
+		}
 		return s.judge(o, pick, a)
 	case ctx.Err() != nil && o.run.ctx.Err() != nil:
 		pick.Target.Abandon()
 	default:
-		pick.Target.End(now, 0, true)
+		pick.Target.Fail(now)
 	}
 	if !sent {
 		return notRun(reasonUnreachable, 0), true
@@ -131,7 +145,7 @@
 	case portage.OutcomeUnknown:
 		return a, o.idempotent
 	default:
-		return a, false
+		return a, s.perHop && o.idempotent && a.Status >= http.StatusInternalServerError
 	}
 }
 
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -30,6 +30,7 @@
 	sender   *sender
 	runs     *runTable
 	metrics  *metrics
+	throttle *booking.Throttle
 	routes   []Route
 	identity string
 	leaving  atomic.Bool
@@ -39,19 +40,19 @@
 
 // callers handles the calls of outside callers.
 func (e *entry) callers() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(w, q, e.outside) })
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(w, q, e.outside, false) })
 }
 
 // onward handles the calls of the VM's own upstream.
 func (e *entry) onward() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(w, q, e.inside) })
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(w, q, e.inside, true) })
 }
 
 // contextOf returns the run that a call belongs to, or the reason why it is
 // refused.
 type contextOf func(q *http.Request, p *record.Policy) (*run, string)
 
-func (e *entry) serve(w http.ResponseWriter, q *http.Request, contextOf contextOf) {
+func (e *entry) serve(w http.ResponseWriter, q *http.Request, contextOf contextOf, onward bool) {
 	e.inWork.Add(1)
 	defer e.inWork.Add(-1)
 	name := e.kind(q)
@@ -74,10 +75,19 @@
 	scoped.ctx = ctx
 	o := newOrder(&scoped, q, policy, body)
 	a := e.answer(q, o)
+	if onward {
+		e.throttle.Note(e.clock.Now(), r.group, isFailure(a))
+	}
 	e.metrics.outcome(name, a.Outcome, a.Reason)
 	e.write(w, o, policy, a)
 }
 
+// isFailure reports whether the run that made an onward call is likely to fail
+// for it.
+func isFailure(a *portage.Answer) bool {
+	return a.Outcome != portage.OutcomeAnswered || a.Status >= http.StatusInternalServerError
+}
+
 // begin finds the context of a call.
 func (e *entry) begin(q *http.Request, p *record.Policy, contextOf contextOf) (*run, string) {
 	switch {
@@ -199,6 +209,7 @@
 		run:        r,
 		service:    p.Service(),
 		idempotent: p.Idempotent(),
+		maxTries:   p.Tries(),
 		call: portage.Call{
 			Request: r.request,
 			Kind:    p.Name(),
--- a/depot/node.go
+++ b/depot/node.go
@@ -56,7 +56,6 @@
 	spread   *spread
 	server   *portage.Server
 	ready    atomic.Bool
-	deskOpts []booking.Option
 	linkOpts []portage.Option
 	// incarnation is drawn anew by each process.
 	incarnation uint64
@@ -70,11 +69,6 @@
 	return func(n *Node) { n.log = log }
 }
 
-// WithDesk sets options of the admission desk; the default is none.
-func WithDesk(opts ...booking.Option) Option {
-	return func(n *Node) { n.deskOpts = opts }
-}
-
 // New builds a node. It opens no sockets yet.
 func New(s *Settings, opts ...Option) (*Node, error) {
 	n := &Node{
@@ -110,6 +104,7 @@
 func (n *Node) build() {
 	s := n.settings
 	runs := new(runTable)
+	throttle := booking.NewThrottle(rand.Float64)
 	n.book = record.NewBook(n.clock)
 	n.router = dispatch.NewRouter(s.vm, s.place)
 	hello := portage.Hello{VM: s.vm, Incarnation: n.incarnation}
@@ -117,17 +112,26 @@
 	n.owner = &owner{
 		clock:    n.clock,
 		table:    claim.NewTable(s.vm, n.incarnation, n.clock, answerSize),
-		desk:     booking.NewDesk(s.upstream.Slots, n.deskOpts...),
+		desk:     booking.NewDesk(s.upstream.Slots, s.policy.desk()...),
 		upstream: newUpstream(s.upstream),
 		runs:     runs,
+		throttle: throttle,
 		metrics:  n.metrics,
 	}
 	n.entry = &entry{
-		clock:    n.clock,
-		book:     n.book,
-		sender:   &sender{clock: n.clock, router: n.router, peers: n.peers, metrics: n.metrics},
+		clock: n.clock,
+		book:  n.book,
+		sender: &sender{
+			clock:   n.clock,
+			router:  n.router,
+			peers:   n.peers,
+			metrics: n.metrics,
+			perHop:  s.policy.perHop(),
+			early:   s.policy.early(),
+		},
 		runs:     runs,
 		metrics:  n.metrics,
+		throttle: throttle,
 		routes:   s.routes,
 		identity: s.callers.Identity,
 	}
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -28,6 +28,7 @@
 	desk     *booking.Desk
 	upstream *upstream
 	runs     *runTable
+	throttle *booking.Throttle
 	metrics  *metrics
 	leaving  atomic.Bool
 	// inWork counts the calls that are queued or running.
@@ -136,6 +137,9 @@
 	if o.leaving.Load() {
 		return notRun(reasonLeaving, c.Grant)
 	}
+	if !o.throttle.Admit(o.clock.Now(), c.Group) {
+		return notRun(reasonOverload, c.Grant)
+	}
 	b := booking.NewCall(booking.Class(c.Class), c.Group, c.Caller, deadline)
 	v := o.desk.Admit(o.clock.Now(), b)
 	if v == booking.VerdictQueued {
--- /dev/null
+++ b/depot/policy.go
@@ -0,0 +1,21 @@
+package depot
+
+import "cuminhollow.example/booking"
+
+// desk returns the options of the admission desk.
+func (p policySettings) desk() []booking.Option {
+	var opts []booking.Option
+	if p.Queue == queueFIFO {
+		opts = append(opts, booking.WithQueuePolicy(booking.FIFOQueue{}))
+	}
+	if p.Limit == limitFixed {
+		opts = append(opts, booking.WithLimitPolicy(booking.FixedLimit{}))
+	}
+	return opts
+}
+
+// perHop reports whether each hop retries on its own, without a common bound.
+func (p policySettings) perHop() bool { return p.Retries == retriesPerHop }
+
+// early reports whether entries refuse what owners would refuse.
+func (p policySettings) early() bool { return p.Early != earlyOff }
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -26,6 +26,7 @@
 	seeds     []string
 	callers   callerSettings
 	transport transportSettings
+	policy    policySettings
 	routes    []Route
 }
 
@@ -61,6 +62,31 @@
 	Authority   string `yaml:"authority"`
 }
 
+// policySettings select baselines for measurements; the zero value is the
+// product.
+type policySettings struct {
+	// Queue is "ranked" or "fifo".
+	Queue string `yaml:"queue"`
+	// Limit is "adaptive" or "fixed".
+	Limit string `yaml:"limit"`
+	// Retries is "budget" for one bound over the whole chain, or "per-hop".
+	Retries string `yaml:"retries"`
+	// Early is "on" when entries refuse what owners would refuse, or "off".
+	Early string `yaml:"early"`
+}
+
+// The values of the policy section.
+const (
+	queueRanked   = "ranked"
+	queueFIFO     = "fifo"
+	limitAdaptive = "adaptive"
+	limitFixed    = "fixed"
+	retriesBudget = "budget"
+	retriesPerHop = "per-hop"
+	earlyOn       = "on"
+	earlyOff      = "off"
+)
+
 // The values of callers.identity.
 const (
 	identityAddress = "address"
@@ -78,6 +104,7 @@
 	Seeds     []string          `yaml:"seeds"`
 	Callers   callerSettings    `yaml:"callers"`
 	Transport transportSettings `yaml:"transport"`
+	Policy    policySettings    `yaml:"policy"`
 	Routes    []Route           `yaml:"routes"`
 }
 
@@ -129,6 +156,7 @@
 		seeds:     f.Seeds,
 		callers:   f.Callers,
 		transport: f.Transport,
+		policy:    f.Policy,
 		routes:    f.Routes,
 	}, nil
 }
@@ -187,7 +215,11 @@
 	for _, a := range f.Seeds {
 		c.address("", "seeds", a)
 	}
-	c.identity(f)
+	c.oneOf("callers", "identity", f.Callers.Identity, identityAddress, identityHeader)
+	c.oneOf("policy", "queue", f.Policy.Queue, queueRanked, queueFIFO)
+	c.oneOf("policy", "limit", f.Policy.Limit, limitAdaptive, limitFixed)
+	c.oneOf("policy", "retries", f.Policy.Retries, retriesBudget, retriesPerHop)
+	c.oneOf("policy", "early", f.Policy.Early, earlyOn, earlyOff)
 	c.transport(f)
 	c.routes(f)
 }
@@ -238,12 +270,10 @@
 	}
 }
 
-func (c *settingsCheck) identity(f *settingsFile) {
-	switch f.Callers.Identity {
-	case "", identityAddress, identityHeader:
-	default:
-		c.fail(c.line("callers", "identity"), "callers.identity %q must be %q or %q",
-			f.Callers.Identity, identityAddress, identityHeader)
+// oneOf checks a word that may be left out.
+func (c *settingsCheck) oneOf(section, key, value, first, second string) {
+	if value != "" && value != first && value != second {
+		c.fail(c.line(section, key), "%s.%s %q must be %q or %q", section, key, value, first, second)
 	}
 }
 
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -69,7 +69,7 @@
 			prepare: func(r *Router) {
 				for range ejectAfter {
 					r.Target("kutch-a-1").Begin()
-					r.Target("kutch-a-1").End(0, 1, true)
+					r.Target("kutch-a-1").Fail(0)
 				}
 			},
 		},
@@ -118,7 +118,11 @@
 			"fail": func(t *rapid.T) {
 				target := r.Target(rapid.SampledFrom(names).Draw(t, "vm"))
 				target.Begin()
-				target.End(now, 1, rapid.Bool().Draw(t, "failed"))
+				if rapid.Bool().Draw(t, "failed") {
+					target.Fail(now)
+				} else {
+					target.End(1, rapid.Bool().Draw(t, "error"))
+				}
 			},
 			"leave": func(t *rapid.T) { r.Target(rapid.SampledFrom(names).Draw(t, "vm")).SetLeaving(now) },
 			"renew": func(t *rapid.T) { r.Target(rapid.SampledFrom(names).Draw(t, "vm")).Renew() },
@@ -206,13 +210,36 @@
 		if p.VM.Name() == "kutch-a-2" {
 			duration = 100
 		}
-		p.Target.End(clock.Millis(n), duration, false)
+		p.Target.End(duration, false)
 	}
 	if got, limit := count["kutch-a-2"], 50; got > limit {
 		t.Errorf("slow VM: got %d of 1000 calls, want at most %d", got, limit)
 	}
 }
 
+// TestPickAvoidsErrors sends calls to two VMs of which one answers errors at
+// once.
+func TestPickAvoidsErrors(t *testing.T) {
+	r := newTestRouter(t, "kutch-a-1", "kutch-a-2")
+	count := make(map[string]int)
+	for n := range 1000 {
+		p, err := r.Pick(clock.Millis(n), Request{Service: "sealing"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		count[p.VM.Name()]++
+		p.Target.Begin()
+		if p.VM.Name() == "kutch-a-2" {
+			p.Target.End(0.1, true)
+		} else {
+			p.Target.End(10, false)
+		}
+	}
+	if got, limit := count["kutch-a-2"], 50; got > limit {
+		t.Errorf("VM with errors: got %d of 1000 calls, want at most %d", got, limit)
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	var names []string
 	for i := range 30 {
@@ -229,7 +256,7 @@
 				return
 			}
 			p.Target.Begin()
-			p.Target.End(2, 1, false)
+			p.Target.End(1, false)
 		}
 	})
 }
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -25,8 +25,10 @@
 	// leavingAge is how long a VM's own notice of leaving is believed: longer
 	// than any planned stop, in milliseconds.
 	leavingAge clock.Millis = 10 * clock.Minute
-	// latencyWeight is the weight of a new duration in the mean.
-	latencyWeight = 0.2
+	// meanWeight is the weight of a new sample in a mean.
+	meanWeight = 0.2
+	// errorPenalty multiplies the score of a VM that answers only errors.
+	errorPenalty = 100
 )
 
 // Target is what a node knows of one VM from its own traffic. It outlives
@@ -36,6 +38,9 @@
 	inFlight atomic.Int64
 	// latency holds the bits of the mean duration of a call, in milliseconds.
 	latency atomic.Uint64
+	// errors holds the bits of the share of answers that report an error, from
+	// 0 to 1.
+	errors atomic.Uint64
 	// failures counts failures in a row.
 	failures     atomic.Int64
 	ejectedUntil atomic.Int64
@@ -67,17 +72,31 @@
 // Begin notes a call that is about to be sent.
 func (t *Target) Begin() { t.inFlight.Add(1) }
 
-// End notes the end of a call after a duration in milliseconds. A call that
-// failed says nothing of the duration.
-func (t *Target) End(now clock.Millis, duration float64, failed bool) {
+// End notes an answer after a duration in milliseconds. An answer that reports
+// an error makes the VM less attractive than others, however fast it came.
+func (t *Target) End(duration float64, isError bool) {
 	t.inFlight.Add(-1)
-	if failed {
-		t.fail(now)
-		return
-	}
 	t.failures.Store(0)
-	old := math.Float64frombits(t.latency.Load())
-	t.latency.Store(math.Float64bits(old + latencyWeight*(duration-old)))
+	share := 0.0
+	if isError {
+		share = 1
+	} else {
+		blend(&t.latency, duration)
+	}
+	blend(&t.errors, share)
+}
+
+// Fail notes a call without an answer. It says nothing of the duration.
+func (t *Target) Fail(now clock.Millis) {
+	t.inFlight.Add(-1)
+	t.fail(now)
+}
+
+// blend moves a mean towards a sample. An update that is lost to a concurrent
+// one does no harm.
+func blend(mean *atomic.Uint64, sample float64) {
+	old := math.Float64frombits(mean.Load())
+	mean.Store(math.Float64bits(old + meanWeight*(sample-old)))
 }
 
 // Abandon notes the end of a call that the caller gave up.
@@ -110,6 +129,7 @@
 	t.leavingUntil.Store(0)
 	t.ejectedUntil.Store(0)
 	t.failures.Store(0)
+	t.errors.Store(0)
 	t.level.Store(booking.Classes)
 }
 
@@ -139,7 +159,8 @@
 }
 
 // score is lower for a better VM: the work that it would have in flight times
-// the time that it takes for each.
+// the time that it takes for each, raised by the errors that it answers.
 func (t *Target) score() float64 {
-	return float64(t.inFlight.Load()+1) * (math.Float64frombits(t.latency.Load()) + 1)
+	work := float64(t.inFlight.Load()+1) * (math.Float64frombits(t.latency.Load()) + 1)
+	return work * (1 + errorPenalty*math.Float64frombits(t.errors.Load()))
 }
--- /dev/null
+++ b/load/demo.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	_ "embed" // for the experiment of the demo
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+//go:embed experiments/demo.yaml
+var demoExperiment []byte
+
+// demo runs the embedded experiment and fails when a promise was broken.
+func demo(ctx context.Context, c *cli.Command) error {
+	dir, err := os.MkdirTemp("", "demo")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	path := filepath.Join(dir, "demo.yaml")
+	if err := os.WriteFile(path, demoExperiment, 0o600); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	e, err := loadExperiment(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Printf("%d VMs of %d services in %d regions; %.0f s of load\n",
+		len(e.Services)*e.Services[0].VMs, len(e.Services), len(e.Regions), e.length().Seconds())
+	r, err := runAndSave(ctx, c, e, productPolicy)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if r.Doubled > 0 || r.Mixed > 0 {
+		return trace.BadParameter("a promise was broken: %d doubled runs, %d mixed-up answers", r.Doubled, r.Mixed)
+	}
+	return nil
+}
--- a/load/main.go
+++ b/load/main.go
@@ -1,4 +1,110 @@
-// Command load is not built yet.
+// Command load runs experiments on a small deployment of real processes and
+// reports what callers got.
 package main
 
-func main() {}
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+// exitFault is the exit status for bad input and failed experiments.
+const exitFault = 2
+
+// productPolicy is the name of the policy without any baseline.
+const productPolicy = "product"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		os.Exit(exitFault)
+	}
+}
+
+func command() *cli.Command {
+	bin := &cli.StringFlag{Name: "bin", Value: "bin", Usage: "`FOLDER` of the programs"}
+	out := &cli.StringFlag{Name: "out", Usage: "`FOLDER` for the report in JSON and the plot in SVG"}
+	policy := &cli.StringSliceFlag{Name: "policy", Value: []string{productPolicy}, Usage: "`NAME` of a policy of the experiment; may be repeated"}
+	return &cli.Command{
+		Name:  "load",
+		Usage: "run experiments and compare their results",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run an experiment under each policy", ArgsUsage: "FILE", Flags: []cli.Flag{bin, out, policy}, Action: runFile},
+			{Name: "compare", Usage: "show reports side by side", ArgsUsage: "REPORT...", Action: compare},
+			{Name: "demo", Usage: "run a small kiln deployment through a surge and a killed node", Flags: []cli.Flag{bin, out}, Action: demo},
+		},
+	}
+}
+
+func runFile(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return trace.BadParameter("name one experiment file")
+	}
+	e, err := loadExperiment(c.Args().First())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var reports []*Report
+	for _, name := range c.StringSlice("policy") {
+		if _, ok := e.Policies[name]; !ok && name != productPolicy {
+			return trace.BadParameter("the experiment has no policy %q", name)
+		}
+		r, err := runAndSave(ctx, c, e, name)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		reports = append(reports, r)
+	}
+	if len(reports) > 1 {
+		return writeSideBySide(os.Stdout, reports)
+	}
+	return nil
+}
+
+func runAndSave(ctx context.Context, c *cli.Command, e *Experiment, policy string) (*Report, error) {
+	r, err := runExperiment(ctx, c.String("bin"), e, policy, os.Stderr)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.write(os.Stdout); err != nil {
+		return nil, err
+	}
+	folder := c.String("out")
+	if folder == "" {
+		return r, nil
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	base := filepath.Join(folder, e.Name+"-"+policy)
+	if err := r.save(base + ".json"); err != nil {
+		return nil, err
+	}
+	return r, r.plot(base + ".svg")
+}
+
+func compare(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() < 2 {
+		return trace.BadParameter("name two or more reports")
+	}
+	var reports []*Report
+	for _, path := range c.Args().Slice() {
+		r, err := loadReport(path)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		reports = append(reports, r)
+	}
+	slices.SortStableFunc(reports, byPolicy)
+	return writeSideBySide(os.Stdout, reports)
+}
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -133,14 +133,14 @@
 	return do(q)
 }
 
-// reserve takes a ticket from a node without running anything.
-func reserve(t *testing.T, address, kind string) string {
+// reserve takes a ticket for a certificate from a node without running anything.
+func reserve(t *testing.T, address string) string {
 	t.Helper()
 	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/cuminhollow/tickets", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	q.Header.Set("Cuminhollow-Kind", kind)
+	q.Header.Set("Cuminhollow-Kind", "certificate")
 	r := do(q)
 	if r.err != nil || r.ticket == "" {
 		t.Fatalf("reserve: got %+v, want a ticket", r)
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -63,7 +63,7 @@
 			defer wg.Done()
 			for n := range 10 {
 				id := fmt.Sprintf("entry-%d-%d", w, n)
-				ticket := reserve(t, desk[1].CallerAddress, "certificate")
+				ticket := reserve(t, desk[1].CallerAddress)
 				r := call(desk[0].CallerAddress, "certificate", id, "Cuminhollow-Ticket", ticket)
 				if r.err != nil {
 					r = call(desk[1].CallerAddress, "certificate", id, "Cuminhollow-Ticket", ticket)
@@ -99,7 +99,7 @@
 	var wg sync.WaitGroup
 	for n := range 20 {
 		id := "same-" + strconv.Itoa(n)
-		ticket := reserve(t, desk[0].CallerAddress, "certificate")
+		ticket := reserve(t, desk[0].CallerAddress)
 		for i := range 6 {
 			wg.Add(1)
 			go func() {
@@ -122,7 +122,7 @@
 func TestQueryRefusesFirst(t *testing.T) {
 	f := startFleet(t, certifyPlan(2, 5*time.Millisecond, 0))
 	desk := f.Service("desk")
-	ticket := reserve(t, desk[0].CallerAddress, "certificate")
+	ticket := reserve(t, desk[0].CallerAddress)
 	asked := outcomeOf(desk[1].CallerAddress, "certificate", ticket)
 	if got, want := asked.outcome, "not-run"; got != want {
 		t.Errorf("query: got %q, want %q", got, want)
@@ -139,7 +139,7 @@
 func TestTicketOfOldIncarnation(t *testing.T) {
 	f := startFleet(t, certifyPlan(1, 5*time.Millisecond, 0))
 	desk, owner := f.Service("desk"), f.Service("certifying")[0]
-	ticket := reserve(t, desk[0].CallerAddress, "certificate")
+	ticket := reserve(t, desk[0].CallerAddress)
 	owner.Node.Kill()
 	if err := owner.Node.Restart(); err != nil {
 		t.Fatal(err)
@@ -242,3 +242,19 @@
 		}
 	}
 }
+
+// TestKillOwnerIdempotent kills an owner's node under idempotent load: the
+// calls that were lost are answered by another owner.
+func TestKillOwnerIdempotent(t *testing.T) {
+	f := startFleet(t, certifyPlan(3, 20*time.Millisecond, 2))
+	owner := f.Service("certifying")[0]
+	results := loadFor(f.Service("desk"), "history", 16, 2*time.Second, func() {
+		time.Sleep(700 * time.Millisecond)
+		owner.Node.Kill()
+	}).all()
+	for _, r := range results {
+		if r.err != nil || r.outcome != "answered" {
+			t.Errorf("%s: got %q (%s) error %v, want answered", r.id, r.outcome, r.reason, r.err)
+		}
+	}
+}
--- a/record/parse.go
+++ b/record/parse.go
@@ -155,7 +155,11 @@
 		c.fail("rank", "rank %d must be 0 to %d", p.rank, MaxRank)
 	}
 	if p.target < 1 || p.target > MaxTarget {
-		c.fail("target", "target %s must be 1ms to %s", p.target, MaxTarget)
+		field := "target_ms"
+		if p.schema == SchemaV2 {
+			field = "target"
+		}
+		c.fail(field, "target %s must be 1ms to %s", p.target, MaxTarget)
 	}
 	if p.tries < 1 || p.tries > MaxTries {
 		field := "tries"
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -248,7 +248,7 @@
 }
 
 func (f *Fleet) settingsOf(v *VM, s Service) string {
-	return fmt.Sprintf(`vm: %s
+	text := fmt.Sprintf(`vm: %s
 service: %s
 region: %s
 zone: %s
@@ -268,6 +268,10 @@
   plain: true
 `, v.Name, v.Service, v.Place.Region, v.Place.Zone, v.CallerAddress, v.OnwardAddress, v.listen,
 		v.OperatorAddress, v.UpstreamAddress, s.Slots, s.Slots*connectionsPerSlot, f.PlatformAddress)
+	if len(f.plan.Policy) > 0 {
+		text += "policy:\n  " + strings.Join(f.plan.Policy, "\n  ") + "\n"
+	}
+	return text
 }
 
 // WaitReady returns when every node that runs says that it is ready.
--- a/standin/fleet/plan.go
+++ b/standin/fleet/plan.go
@@ -12,6 +12,9 @@
 	Services []Service
 	// Records maps a kind of work to its record in YAML.
 	Records map[string]string
+	// Policy is the policy section of the nodes' settings, one "key: value" a
+	// line; empty for the product's own.
+	Policy []string
 	// PlatformRate is the number of reads a second that the platform answers;
 	// 0 means its default.
 	PlatformRate int
