--- a/booking/limit.go
+++ b/booking/limit.go
@@ -23,7 +23,7 @@
 	// limitWindow is the span over which results are judged, in milliseconds.
 	limitWindow clock.Millis = 100
 	// coldFraction of the slots is the limit at the start.
-	coldFraction = 8
+	coldFraction = 4
 	// coldGrowth is the factor by which a limit in use grows for each window
 	// until the first window with too many faults.
 	coldGrowth = 2
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -102,14 +102,14 @@
 	fault := &Error{Op: "reserve", Kind: KindNotRun}
 	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
 		entry := c.entry()
-		res, body, err := c.exchange(ctx, entry, http.MethodPost, ticketPath, http.Header{headerKind: {kind}}, nil)
+		r, err := c.exchange(ctx, entry, http.MethodPost, ticketPath, http.Header{headerKind: {kind}}, nil)
 		switch {
 		case err != nil:
 			fault.Err = err
-		case res.StatusCode == http.StatusOK:
-			return res.Header.Get(headerTicket), nil
+		case r.status == http.StatusOK:
+			return r.header.Get(headerTicket), nil
 		default:
-			fault.Reason = reasonOf(body)
+			fault.Reason = reasonOf(r.body)
 			return "", fault
 		}
 		c.turnFrom(entry)
@@ -126,9 +126,9 @@
 	h := http.Header{headerKind: {kind}, headerTicket: {ticket}}
 	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
 		entry := c.entry()
-		res, body, err := c.exchange(ctx, entry, http.MethodGet, ticketPath, h, nil)
+		r, err := c.exchange(ctx, entry, http.MethodGet, ticketPath, h, nil)
 		if err == nil {
-			return read("outcome", res, body, ticket)
+			return read("outcome", r, ticket)
 		}
 		fault.Err = err
 		c.turnFrom(entry)
@@ -167,19 +167,26 @@
 	if path == "" {
 		path = "/"
 	}
-	res, body, err := c.exchange(ctx, entry, method, path, h, w.Body)
+	r, err := c.exchange(ctx, entry, method, path, h, w.Body)
 	if err != nil {
 		return nil, err
 	}
-	return read("do", res, body, ticket)
+	return read("do", r, ticket)
+}
+
+// reply is what a node sent.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
 // exchange sends one HTTP request. The body cannot be rewound, so that the
 // transport does not send it a second time on its own.
-func (c *Caller) exchange(ctx context.Context, entry, method, path string, h http.Header, body []byte) (*http.Response, []byte, error) {
+func (c *Caller) exchange(ctx context.Context, entry, method, path string, h http.Header, body []byte) (reply, error) {
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, nil)
 	if err != nil {
-		return nil, nil, err
+		return reply{}, err
 	}
 	q.Header = h
 	if c.name != "" {
@@ -189,25 +196,25 @@
 	q.ContentLength = int64(len(body))
 	res, err := c.client.Do(q)
 	if err != nil {
-		return nil, nil, err
+		return reply{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	text, err := io.ReadAll(res.Body)
-	return res, text, err
+	return reply{status: res.StatusCode, header: res.Header, body: text}, err
 }
 
 // read turns a node's answer into the upstream's or into an *Error.
-func read(op string, res *http.Response, body []byte, ticket string) (*Answer, error) {
-	if t := res.Header.Get(headerTicket); t != "" {
+func read(op string, r reply, ticket string) (*Answer, error) {
+	if t := r.header.Get(headerTicket); t != "" {
 		ticket = t
 	}
-	switch res.Header.Get(headerOutcome) {
+	switch r.header.Get(headerOutcome) {
 	case outcomeAnswered:
-		return &Answer{Status: res.StatusCode, Header: res.Header, Body: body, Ticket: ticket}, nil
+		return &Answer{Status: r.status, Header: r.header, Body: r.body, Ticket: ticket}, nil
 	case outcomeNotRun:
-		return nil, &Error{Op: op, Kind: KindNotRun, Reason: reasonOf(body), Ticket: ticket}
+		return nil, &Error{Op: op, Kind: KindNotRun, Reason: reasonOf(r.body), Ticket: ticket}
 	default:
-		return nil, &Error{Op: op, Kind: KindUnknown, Reason: reasonOf(body), Ticket: ticket}
+		return nil, &Error{Op: op, Kind: KindUnknown, Reason: reasonOf(r.body), Ticket: ticket}
 	}
 }
 
--- /dev/null
+++ b/depot/example_test.go
@@ -0,0 +1,15 @@
+package depot_test
+
+import (
+	"fmt"
+
+	"cuminhollow.example/depot"
+)
+
+// Settings with faults are refused with every fault and its line.
+func Example() {
+	_, err := depot.ParseSettings("node.yaml", []byte("vm: kutch-a-1\nservise: sealing\n"))
+	fmt.Println(err != nil)
+	// Output:
+	// true
+}
--- a/depot/metrics.go
+++ b/depot/metrics.go
@@ -65,37 +65,33 @@
 	return err
 }
 
-// observe reports the state of the desk and the claim table at each scrape.
-func (m *metrics) observe(o *owner) error {
-	limit, err := m.meter.Int64ObservableGauge("cuminhollow.limit",
-		metric.WithDescription("Concurrency limit of the upstream."), metric.WithUnit("{call}"))
-	if err != nil {
-		return err
-	}
-	running, err := m.meter.Int64ObservableGauge("cuminhollow.running",
-		metric.WithDescription("Calls that run on the upstream."), metric.WithUnit("{call}"))
-	if err != nil {
-		return err
-	}
-	waiting, err := m.meter.Int64ObservableGauge("cuminhollow.waiting",
-		metric.WithDescription("Calls that wait for the upstream."), metric.WithUnit("{call}"))
-	if err != nil {
-		return err
-	}
-	records, err := m.meter.Int64ObservableGauge("cuminhollow.completion_records",
-		metric.WithDescription("Completion records kept."), metric.WithUnit("{record}"))
-	if err != nil {
-		return err
+// observe reports the state of the desk, the claim table and the connections
+// between nodes at each scrape.
+func (m *metrics) observe(o *owner, traffic *portage.Traffic) error {
+	for _, g := range []struct {
+		name, description, unit string
+		value                   func() int64
+	}{
+		{"cuminhollow.limit", "Concurrency limit of the upstream.", "{call}", func() int64 { return int64(o.desk.Stats().Limit) }},
+		{"cuminhollow.running", "Calls that run on the upstream.", "{call}", func() int64 { return int64(o.desk.Stats().Running) }},
+		{"cuminhollow.waiting", "Calls that wait for the upstream.", "{call}", func() int64 { return int64(o.desk.Stats().Waiting) }},
+		{"cuminhollow.completion_records", "Completion records kept.", "{record}", func() int64 { return int64(o.table.Stats().Records) }},
+		{"cuminhollow.control.bytes", "Bytes sent to peers besides calls and answers, since the start.", "By", traffic.ControlBytes},
+		{"cuminhollow.control.messages", "Messages sent to peers besides calls and answers, since the start.", "{message}", traffic.ControlMessages},
+		{"cuminhollow.call.bytes", "Bytes of calls and answers sent to peers, since the start.", "By", traffic.CallBytes},
+	} {
+		_, err := m.meter.Int64ObservableGauge(g.name,
+			metric.WithDescription(g.description),
+			metric.WithUnit(g.unit),
+			metric.WithInt64Callback(func(_ context.Context, obs metric.Int64Observer) error {
+				obs.Observe(g.value())
+				return nil
+			}))
+		if err != nil {
+			return err
+		}
 	}
-	_, err = m.meter.RegisterCallback(func(_ context.Context, obs metric.Observer) error {
-		desk, table := o.desk.Stats(), o.table.Stats()
-		obs.ObserveInt64(limit, int64(desk.Limit))
-		obs.ObserveInt64(running, int64(desk.Running))
-		obs.ObserveInt64(waiting, int64(desk.Waiting))
-		obs.ObserveInt64(records, int64(table.Records))
-		return nil
-	}, limit, running, waiting, records)
-	return err
+	return nil
 }
 
 // handler serves the metrics in the Prometheus format.
--- a/depot/node.go
+++ b/depot/node.go
@@ -31,8 +31,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// bootstrapTimeout bounds the first reads before the node serves.
-	bootstrapTimeout = 3 * time.Second
 	// stopTimeout bounds a planned stop: longer than the longest target time.
 	stopTimeout = 11 * time.Minute
 	// stopPoll is how often a planned stop looks whether work is done.
@@ -57,6 +55,7 @@
 	server   *portage.Server
 	ready    atomic.Bool
 	linkOpts []portage.Option
+	traffic  portage.Traffic
 	// incarnation is drawn anew by each process.
 	incarnation uint64
 }
@@ -85,11 +84,12 @@
 		return nil, &Error{Op: "set up metrics", Kind: KindSettings, Err: err}
 	}
 	n.metrics = m
+	n.linkOpts = append(n.linkOpts, portage.WithTraffic(&n.traffic))
 	if err := n.secure(); err != nil {
 		return nil, err
 	}
 	n.build()
-	if err := m.observe(n.owner); err != nil {
+	if err := m.observe(n.owner, &n.traffic); err != nil {
 		return nil, &Error{Op: "set up metrics", Kind: KindSettings, Err: err}
 	}
 	return n, nil
@@ -116,6 +116,7 @@
 		upstream: newUpstream(s.upstream),
 		runs:     runs,
 		throttle: throttle,
+		early:    s.policy.early(),
 		metrics:  n.metrics,
 	}
 	n.entry = &entry{
@@ -137,7 +138,9 @@
 	}
 	n.spread = &spread{
 		self:     s.vm,
+		service:  s.service,
 		zone:     s.place.Zone,
+		clock:    n.clock,
 		book:     n.book,
 		router:   n.router,
 		peers:    n.peers,
@@ -165,7 +168,7 @@
 	g, gctx := errgroup.WithContext(work)
 	g.Go(func() error { return n.server.Serve(listeners.peers) })
 	operators := n.serveHTTP(g, listeners.operators, n.operators())
-	n.bootstrap(ctx)
+	n.spread.bootstrap(ctx)
 	mux := http.NewServeMux()
 	mux.HandleFunc(TicketPath, n.entry.tickets)
 	mux.Handle("/", n.entry.callers())
@@ -186,14 +189,6 @@
 	return err
 }
 
-func (n *Node) bootstrap(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
-	defer cancel()
-	if err := n.spread.bootstrap(ctx); err != nil {
-		n.log.Warn().Str("event", "bootstrap").Err(err).Send()
-	}
-}
-
 // Drain makes the node leave: it tells its peers and refuses new work, but
 // keeps running.
 func (n *Node) Drain() {
@@ -292,8 +287,6 @@
 	case *portage.Leaving:
 		n.peers.notice(m)
 	case *portage.Push:
-		for _, d := range m.Documents {
-			n.spread.offer(d.Key, d.Body, p.VM)
-		}
+		n.spread.fromPeer(p.VM, m.Documents)
 	}
 }
--- a/depot/operators.go
+++ b/depot/operators.go
@@ -36,6 +36,10 @@
 	Completions int `json:"completions"`
 	// InWork counts calls taken from callers and peers and not yet answered.
 	InWork int64 `json:"in_work"`
+	// ControlBytes and ControlMessages count what was sent to peers besides
+	// calls and answers.
+	ControlBytes    int64 `json:"control_bytes"`
+	ControlMessages int64 `json:"control_messages"`
 	// HeapBytes is the memory in use by the node's heap.
 	HeapBytes uint64 `json:"heap_bytes"`
 }
@@ -124,7 +128,26 @@
 		Completions: n.owner.table.Stats().Records,
 		InWork:      n.owner.inWork.Load() + n.entry.inWork.Load(),
 		HeapBytes:   memory.HeapAlloc,
+
+		ControlBytes:    n.traffic.ControlBytes(),
+		ControlMessages: n.traffic.ControlMessages(),
+	}
+}
+
+// Control returns the bytes and messages sent to peers besides calls and
+// answers.
+func (n *Node) Control() (bytes, messages int64) {
+	return n.traffic.ControlBytes(), n.traffic.ControlMessages()
+}
+
+// Revision returns the revision of the record in force for a kind of work; 0
+// for none.
+func (n *Node) Revision(kind string) uint64 {
+	d := n.book.Snapshot().Document(record.PolicyPrefix + kind)
+	if d == nil {
+		return 0
 	}
+	return d.Revision()
 }
 
 // Explain tells which record of a kind is in force and what it does.
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -30,7 +30,9 @@
 	runs     *runTable
 	throttle *booking.Throttle
 	metrics  *metrics
-	leaving  atomic.Bool
+	// early makes the owner refuse calls whose onward calls would fail.
+	early   bool
+	leaving atomic.Bool
 	// inWork counts the calls that are queued or running.
 	inWork atomic.Int64
 }
@@ -137,7 +139,7 @@
 	if o.leaving.Load() {
 		return notRun(reasonLeaving, c.Grant)
 	}
-	if !o.throttle.Admit(o.clock.Now(), c.Group) {
+	if o.early && !o.throttle.Admit(o.clock.Now(), c.Group) {
 		return notRun(reasonOverload, c.Grant)
 	}
 	b := booking.NewCall(booking.Class(c.Class), c.Group, c.Caller, deadline)
--- a/depot/peers.go
+++ b/depot/peers.go
@@ -131,7 +131,17 @@
 	return p.issuer.Next()
 }
 
-// links returns the peers that have a connection.
+// forget drops VMs that no roster lists any more. Their connections close when
+// they are idle.
+func (ps *peers) forget(vms []string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, vm := range vms {
+		delete(ps.byVM, vm)
+	}
+}
+
+// connected returns the peers that have a connection.
 func (ps *peers) connected() []*peer {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
--- a/depot/platform.go
+++ b/depot/platform.go
@@ -1,16 +1,21 @@
 package depot
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cuminhollow.example/record"
 )
 
@@ -19,6 +24,13 @@
 	platformTimeout = 3 * time.Second
 	// watchWait is how long a watch waits for a change.
 	watchWait = 20 * time.Second
+	// readBatch is the number of documents read after one listing.
+	readBatch = 128
+	// readRate is the number of documents that a node reads a second beyond the
+	// first batch, so that all readers together stay below the platform's rate.
+	readRate = 20
+	// newestFirst is the number of documents read in the order of their change.
+	newestFirst = 32
 	// listingLimit bounds the size of a listing, in bytes.
 	listingLimit = 16 << 20
 )
@@ -27,7 +39,9 @@
 type platform struct {
 	addresses []string
 	client    *http.Client
-	mu        sync.Mutex
+	// limit bounds the reads of documents.
+	limit *rate.Limiter
+	mu    sync.Mutex
 	// next is the address that is tried first.
 	next int
 	// seen holds the version of each key that was read last.
@@ -49,32 +63,56 @@
 	return &platform{
 		addresses: addresses,
 		client:    &http.Client{},
+		limit:     rate.NewLimiter(readRate, readBatch),
 		seen:      make(map[string]uint64),
 	}
 }
 
-// read brings every document that changed since the last read to take, and
-// returns the platform's index. A positive index makes the platform wait for a
-// change.
-func (p *platform) read(ctx context.Context, index uint64, take func(key string, body []byte)) (uint64, error) {
+// read brings documents that changed since the last read to take, at most
+// readBatch of them, and returns the platform's index. A positive index makes
+// the platform wait for a change. The index returned is 0 when documents are
+// left to read.
+func (p *platform) read(ctx context.Context, index uint64, take func(...record.Body)) (uint64, error) {
 	listing, err := p.list(ctx, index)
 	if err != nil {
 		return 0, err
 	}
-	for _, e := range listing.Keys {
-		if p.known(e) {
-			continue
+	changed := p.changed(listing.Keys)
+	for _, e := range changed[:min(len(changed), readBatch)] {
+		if err := p.limit.Wait(ctx); err != nil {
+			return 0, &Error{Op: "read platform", Kind: KindPlatform, Err: err}
 		}
 		body, err := p.value(ctx, e.Key)
 		if err != nil {
 			return 0, err
 		}
-		take(e.Key, body)
+		take(record.Body{Key: e.Key, Text: body})
 		p.note(e)
 	}
+	if len(changed) > readBatch {
+		return 0, nil
+	}
 	return listing.Index, nil
 }
 
+// changed returns the keys that were not read in their present version: the
+// newest first, so that a change is read before a backlog, and the rest in
+// random order, so that nodes that start together read different documents and
+// exchange them.
+func (p *platform) changed(keys []platformEntry) []platformEntry {
+	var out []platformEntry
+	for _, e := range keys {
+		if !p.known(e) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b platformEntry) int { return cmp.Compare(b.Version, a.Version) })
+	if rest := out[min(len(out), newestFirst):]; len(rest) > 1 {
+		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	}
+	return out
+}
+
 func (p *platform) known(e platformEntry) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/depot/policy.go
+++ b/depot/policy.go
@@ -2,11 +2,15 @@
 
 import "cuminhollow.example/booking"
 
+// fifoLength is the queue of the baseline: long enough that calls wait past
+// their target times.
+const fifoLength = 1024
+
 // desk returns the options of the admission desk.
 func (p policySettings) desk() []booking.Option {
 	var opts []booking.Option
 	if p.Queue == queueFIFO {
-		opts = append(opts, booking.WithQueuePolicy(booking.FIFOQueue{}))
+		opts = append(opts, booking.WithQueuePolicy(booking.FIFOQueue{}), booking.WithQueueLength(fifoLength))
 	}
 	if p.Limit == limitFixed {
 		opts = append(opts, booking.WithLimitPolicy(booking.FixedLimit{}))
--- a/depot/secure.go
+++ b/depot/secure.go
@@ -11,6 +11,10 @@
 	"cuminhollow.example/portage"
 )
 
+// serverName is the DNS name that the certificate of every node carries. Nodes
+// trust whoever holds a certificate of the fleet's authority with that name.
+const serverName = "cuminhollow-node"
+
 // reloadInterval is how often the key files are read again.
 const reloadInterval = time.Minute
 
@@ -67,6 +71,7 @@
 		Certificates: []tls.Certificate{certificate},
 		RootCAs:      pool,
 		ClientCAs:    pool,
+		ServerName:   serverName,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		MinVersion:   tls.VersionTLS13,
 	})
--- a/depot/spread.go
+++ b/depot/spread.go
@@ -21,8 +21,13 @@
 	// documentsBytes bounds the documents of one message, in bytes. One
 	// document of the largest size fits.
 	documentsBytes = record.MaxBytes + record.MaxBytes/2
+	// bootstrapTimeout bounds one round of the first reads.
+	bootstrapTimeout = 3 * time.Second
 	// exchangeTimeout bounds one exchange with a peer.
 	exchangeTimeout = 2 * time.Second
+	// quietLimit is how long a node does without exchanges before it reads the
+	// platform, in milliseconds.
+	quietLimit = 10 * clock.Second
 	// roleCheck is how often a node looks whether it is a reader.
 	roleCheck = time.Second
 )
@@ -31,7 +36,9 @@
 // node reads it, and from peers.
 type spread struct {
 	self     string
+	service  string
 	zone     string
+	clock    clock.Clock
 	book     *record.Book
 	router   *dispatch.Router
 	peers    *peers
@@ -40,7 +47,9 @@
 	log      zerolog.Logger
 	seeds    []string
 	fleet    atomic.Pointer[registry.Fleet]
-	// fresh counts the documents that came into force since the last push.
+	// heard is when an exchange with a peer last succeeded, on the clock.
+	heard atomic.Int64
+	// fresh holds the documents that came into force since the last push.
 	fresh chan *record.Document
 }
 
@@ -50,35 +59,75 @@
 
 func (s *spread) fleetNow() *registry.Fleet { return s.fleet.Load() }
 
-// offer takes a document from the platform or a peer.
-func (s *spread) offer(key string, body []byte, source string) {
-	change := s.book.OfferBody(key, body, source)
-	switch change.Verdict {
-	case record.VerdictSame, record.VerdictOlder:
-		return
-	case record.VerdictAccepted, record.VerdictConflict, record.VerdictInvalid:
+// offer takes documents from the platform or a peer.
+func (s *spread) offer(source string, bodies ...record.Body) {
+	changes := s.book.OfferAll(bodies, source)
+	now := s.book.Snapshot()
+	rosters := false
+	for _, c := range changes {
+		if c.Verdict == record.VerdictSame || c.Verdict == record.VerdictOlder {
+			continue
+		}
+		s.report(c)
+		if c.Verdict == record.VerdictInvalid {
+			continue
+		}
+		d := now.Document(c.Key)
+		if r, ok := d.Content().(*record.Roster); ok {
+			s.peers.forget(s.router.Update(r))
+			rosters = true
+		}
+		select {
+		case s.fresh <- d:
+		default:
+		}
 	}
-	s.log.Info().Str("event", "record-change").Str("key", key).
-		Uint64("from", change.From).Uint64("to", change.To).
-		Str("digest", change.Digest).Str("source", source).
-		Str("verdict", string(change.Verdict)).Str("reason", change.Reason).Send()
-	if change.Verdict == record.VerdictInvalid {
-		return
+	if rosters {
+		s.fleet.Store(registry.NewFleet(s.self, s.zone, now))
 	}
-	d := s.book.Snapshot().Document(key)
-	if r, ok := d.Content().(*record.Roster); ok {
-		s.router.Update(r)
-		s.fleet.Store(registry.NewFleet(s.self, s.zone, s.book.Snapshot()))
+}
+
+func (s *spread) report(c record.Change) {
+	s.log.Info().Str("event", "record-change").Str("key", c.Key).
+		Uint64("from", c.From).Uint64("to", c.To).
+		Str("digest", c.Digest).Str("source", c.Source).
+		Str("verdict", string(c.Verdict)).Str("reason", c.Reason).Send()
+}
+
+func (s *spread) fromPlatform(bodies ...record.Body) { s.offer(sourcePlatform, bodies...) }
+
+func (s *spread) fromPeer(vm string, documents []portage.Published) {
+	bodies := make([]record.Body, 0, len(documents))
+	for _, d := range documents {
+		bodies = append(bodies, record.Body{Key: d.Key, Text: d.Body})
 	}
-	select {
-	case s.fresh <- d:
-	default:
+	s.offer(vm, bodies...)
+}
+
+// bootstrap reads documents before the node serves: the roster of its own
+// service from the platform, then all documents from peers, and from the
+// platform only if no peer has any. Peers that know the node from the rosters
+// bring documents too.
+func (s *spread) bootstrap(ctx context.Context) {
+	for failures := 1; ctx.Err() == nil; failures++ {
+		if err := s.readOnce(ctx); err != nil {
+			s.log.Warn().Str("event", "bootstrap").Int("failures", failures).Err(err).Send()
+		}
+		if s.book.Snapshot().HasPolicies() {
+			return
+		}
+		sleep(ctx, s.schedule.Retry(failures))
 	}
 }
 
-// bootstrap reads the platform and the seeds before the node serves.
-func (s *spread) bootstrap(ctx context.Context) error {
-	_, err := s.platform.read(ctx, 0, s.fromPlatform)
+func (s *spread) readOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	own := record.RosterPrefix + s.service
+	body, err := s.platform.value(ctx, own)
+	if err == nil {
+		s.fromPlatform(record.Body{Key: own, Text: body})
+	}
 	for _, address := range s.seeds {
 		s.exchangeWith(ctx, registry.Member{VM: address, Address: address})
 	}
@@ -87,11 +136,13 @@
 			s.exchangeWith(ctx, m)
 		}
 	}
+	if s.book.Snapshot().HasPolicies() {
+		return nil
+	}
+	_, err = s.platform.read(ctx, 0, s.fromPlatform)
 	return err
 }
 
-func (s *spread) fromPlatform(key string, body []byte) { s.offer(key, body, sourcePlatform) }
-
 // run keeps documents up to date until ctx ends.
 func (s *spread) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -126,12 +177,13 @@
 	return nil
 }
 
-// fallback reads the platform at long intervals even if this node is no
-// reader.
+// fallback reads the platform when this node is no reader but has not heard
+// from any peer for a while.
 func (s *spread) fallback(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, s.schedule.Fallback(s.fleetNow().Size()))
-		if ctx.Err() != nil || s.fleetNow().Reader() {
+		quiet := s.clock.Now() - clock.Millis(s.heard.Load())
+		if ctx.Err() != nil || s.fleetNow().Reader() || quiet < quietLimit {
 			continue
 		}
 		if _, err := s.platform.read(ctx, 0, s.fromPlatform); err != nil {
@@ -163,7 +215,11 @@
 	summary := s.book.Snapshot().Summary()
 	r, err := link.Do(ctx, &portage.Exchange{Summary: summary[:]})
 	listing, ok := r.(*portage.Listing)
-	if err != nil || !ok || len(listing.Buckets) == 0 {
+	if err != nil || !ok {
+		return
+	}
+	s.heard.Store(int64(s.clock.Now()))
+	if len(listing.Buckets) == 0 {
 		return
 	}
 	wanted, surplus := compare(s.book.Snapshot(), listing)
@@ -180,9 +236,7 @@
 		if err != nil || !ok || len(documents.Documents) == 0 {
 			return
 		}
-		for _, d := range documents.Documents {
-			s.offer(d.Key, d.Body, m.VM)
-		}
+		s.fromPeer(m.VM, documents.Documents)
 		keys = keys[min(len(documents.Documents), len(keys)):]
 	}
 }
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -67,18 +67,38 @@
 	return r
 }
 
-// Update takes the VMs of a service from a roster. An unchanged roster costs a
-// comparison of pointers.
-func (r *Router) Update(roster *record.Roster) {
-	service := roster.Service()
-	if p := (*r.plans.Load())[service]; p != nil && p.roster == roster {
-		return
-	}
+// Update takes the VMs of a service from a roster and forgets those that it no
+// longer lists. It returns their names.
+func (r *Router) Update(roster *record.Roster) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	service := roster.Service()
 	next := maps.Clone(*r.plans.Load())
+	gone := missing(next[service], roster)
+	for _, name := range gone {
+		delete(r.targets, name)
+	}
 	next[service] = newPlan(r.self, r.place, roster, r.targetLocked)
 	r.plans.Store(&next)
+	return gone
+}
+
+// missing returns the VMs of a plan's roster that a newer one does not list.
+func missing(old *plan, roster *record.Roster) []string {
+	if old == nil {
+		return nil
+	}
+	listed := make(map[string]bool)
+	for _, v := range roster.VMs() {
+		listed[v.Name()] = true
+	}
+	var out []string
+	for _, v := range old.roster.VMs() {
+		if !listed[v.Name()] {
+			out = append(out, v.Name())
+		}
+	}
+	return out
 }
 
 // Target returns what the node knows of a VM; it is created when needed.
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -194,6 +194,18 @@
 	}
 }
 
+// TestUpdateForgets replaces the VMs of a service over and over, as failures
+// and deployments do: what the router keeps stays bounded.
+func TestUpdateForgets(t *testing.T) {
+	r := NewRouter("self", home)
+	for n := range 100 {
+		r.Update(rosterOf(t, fmt.Sprint("kutch-a-", n), fmt.Sprint("kutch-a-", n+1)))
+	}
+	if got, want := len(r.targets), 2; got != want {
+		t.Errorf("targets: got %d, want %d", got, want)
+	}
+}
+
 // TestPickAvoidsSlow sends calls to two VMs of which one takes ten times as
 // long.
 func TestPickAvoidsSlow(t *testing.T) {
--- a/load/main.go
+++ b/load/main.go
@@ -41,6 +41,18 @@
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run an experiment under each policy", ArgsUsage: "FILE", Flags: []cli.Flag{bin, out, policy}, Action: runFile},
 			{Name: "compare", Usage: "show reports side by side", ArgsUsage: "REPORT...", Action: compare},
+			{
+				Name:  "capacity",
+				Usage: "measure control work against fleet size and number of records",
+				Flags: []cli.Flag{
+					bin,
+					&cli.IntSliceFlag{Name: "sizes", Value: []int{25, 50, 100, 200, 400}, Usage: "`NODES` of a fleet; may be repeated"},
+					&cli.IntFlag{Name: "records", Value: 100, Usage: "`NUMBER` of records in fleets of each size"},
+					&cli.IntSliceFlag{Name: "record-counts", Value: []int{100, 500, 1000, 2000}, Usage: "`NUMBER` of records; may be repeated"},
+					&cli.IntFlag{Name: "record-fleet", Value: 24, Usage: "`NODES` of the fleets with each number of records"},
+				},
+				Action: capacity,
+			},
 			{Name: "demo", Usage: "run a small kiln deployment through a surge and a killed node", Flags: []cli.Flag{bin, out}, Action: demo},
 		},
 	}
--- a/portage/channel.go
+++ b/portage/channel.go
@@ -25,6 +25,8 @@
 	// failed is set when the connection is given up; no request is added
 	// afterwards.
 	failed error
+	// busy is signalled when a request begins to wait.
+	busy chan struct{}
 	// lastUse is when the number of waiting requests last left zero or
 	// returned to it.
 	lastUse time.Time
@@ -35,6 +37,7 @@
 		conn:    c,
 		welcome: w,
 		waiting: make(map[uint64]chan reply),
+		busy:    make(chan struct{}, 1),
 		lastUse: time.Now(),
 	}
 }
@@ -69,6 +72,10 @@
 	wait := make(chan reply, 1)
 	if len(ch.waiting) == 0 {
 		ch.lastUse = time.Now()
+		select {
+		case ch.busy <- struct{}{}:
+		default:
+		}
 	}
 	ch.waiting[ch.last] = wait
 	return wait, nil
--- a/portage/conn.go
+++ b/portage/conn.go
@@ -10,10 +10,10 @@
 
 const (
 	// sendQueue is the number of frames that wait for the socket.
-	sendQueue = 256
+	sendQueue = 64
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = 5 * time.Second
-	bufferSize   = 32 << 10
+	bufferSize   = 8 << 10
 	// finishTimeout bounds the wait for the peer at the end of a connection.
 	finishTimeout = 500 * time.Millisecond
 )
@@ -21,11 +21,12 @@
 // conn is one framed connection. Frames are written by a goroutine of its own,
 // several in one system call when they queue up.
 type conn struct {
-	raw    net.Conn
-	reader *bufio.Reader
-	send   chan []byte
-	closed chan struct{}
-	once   sync.Once
+	raw     net.Conn
+	traffic *Traffic
+	reader  *bufio.Reader
+	send    chan []byte
+	closed  chan struct{}
+	once    sync.Once
 	// finishing is closed when the frames that are queued are to be the last.
 	finishing  chan struct{}
 	finishOnce sync.Once
@@ -33,11 +34,12 @@
 	lastRead atomic.Int64
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, traffic *Traffic) *conn {
 	c := &conn{
-		raw:    raw,
-		send:   make(chan []byte, sendQueue),
-		closed: make(chan struct{}),
+		raw:     raw,
+		traffic: traffic,
+		send:    make(chan []byte, sendQueue),
+		closed:  make(chan struct{}),
 
 		finishing: make(chan struct{}),
 	}
@@ -76,6 +78,7 @@
 	}
 	select {
 	case c.send <- frame:
+		c.traffic.add(m, len(frame))
 		return nil
 	case <-c.closed:
 		return &Error{Op: "send", Kind: KindNotSent, Err: net.ErrClosed}
@@ -135,6 +138,7 @@
 	}
 	select {
 	case c.send <- frame:
+		c.traffic.add(m, len(frame))
 		return nil
 	default:
 		return &Error{Op: "send", Kind: KindNotSent}
--- a/portage/link.go
+++ b/portage/link.go
@@ -147,7 +147,7 @@
 	}
 	deadline := time.Now().Add(l.settings.dialTimeout)
 	_ = raw.SetDeadline(deadline)
-	c := newConn(l.settings.client(raw, l.address))
+	c := newConn(l.settings.client(raw), l.settings.traffic)
 	welcome, err := l.greet(c)
 	if err != nil {
 		c.close()
@@ -190,28 +190,50 @@
 	}
 }
 
-// watch probes the connection while requests wait, abandons it when nothing
-// arrives, and closes it when it is idle.
+// watch closes the connection when it is idle and guards it while requests
+// wait. An idle connection costs one timer.
 func (l *Link) watch(ch *channel) {
+	for {
+		idle := time.NewTimer(l.settings.idleAfter)
+		select {
+		case <-ch.conn.closed:
+			idle.Stop()
+			return
+		case <-ch.busy:
+			idle.Stop()
+			if !l.guard(ch) {
+				return
+			}
+		case <-idle.C:
+			if waiting, since := ch.load(); waiting == 0 && since >= l.settings.idleAfter {
+				l.drop(ch, errors.New("connection is idle"))
+				return
+			}
+		}
+	}
+}
+
+// guard probes the connection while requests wait and abandons it when nothing
+// arrives. It reports whether the connection is still in use.
+func (l *Link) guard(ch *channel) bool {
 	ticker := time.NewTicker(max(l.settings.pingAfter/2, time.Millisecond))
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ch.conn.closed:
-			return
+			return false
 		case <-ticker.C:
 		}
-		waiting, idle := ch.load()
-		quiet := min(ch.conn.quietFor(), idle)
+		waiting, since := ch.load()
+		quiet := min(ch.conn.quietFor(), since)
 		switch {
-		case waiting > 0 && quiet > l.settings.silentAfter:
+		case waiting == 0:
+			return true
+		case quiet > l.settings.silentAfter:
 			l.drop(ch, errors.New("connection is silent"))
-			return
-		case waiting > 0 && quiet > l.settings.pingAfter:
+			return false
+		case quiet > l.settings.pingAfter:
 			ch.tryPing()
-		case waiting == 0 && idle > l.settings.idleAfter:
-			l.drop(ch, errors.New("connection is idle"))
-			return
 		}
 	}
 }
--- a/portage/options.go
+++ b/portage/options.go
@@ -23,6 +23,7 @@
 	onWelcome   func(Welcome)
 	onNotice    func(Notice)
 	maxConns    int
+	traffic     *Traffic
 }
 
 // Option changes a Link or a Server.
@@ -65,7 +66,8 @@
 }
 
 // WithTLS makes connections use the configuration that the function returns at
-// each handshake; the default is plain TCP.
+// each handshake, which for a Link must have a ServerName; the default is plain
+// TCP.
 func WithTLS(config func() *tls.Config) Option {
 	return func(s *settings) { s.tls = config }
 }
@@ -82,25 +84,22 @@
 	return func(s *settings) { s.onNotice = f }
 }
 
+// WithTraffic counts what is sent in t; the default counts nothing.
+func WithTraffic(t *Traffic) Option {
+	return func(s *settings) { s.traffic = t }
+}
+
 // WithMaxConns bounds the connections that a Server holds; the default is
 // 4096.
 func WithMaxConns(n int) Option {
 	return func(s *settings) { s.maxConns = n }
 }
 
-func (s *settings) client(raw net.Conn, address string) net.Conn {
+func (s *settings) client(raw net.Conn) net.Conn {
 	if s.tls == nil {
 		return raw
 	}
-	config := s.tls()
-	if config.ServerName == "" {
-		host, _, err := net.SplitHostPort(address)
-		if err == nil {
-			config = config.Clone()
-			config.ServerName = host
-		}
-	}
-	return tls.Client(raw, config)
+	return tls.Client(raw, s.tls())
 }
 
 func (s *settings) server(raw net.Conn) net.Conn {
--- a/portage/server.go
+++ b/portage/server.go
@@ -149,7 +149,7 @@
 
 func (s *Server) serveConn(raw net.Conn) {
 	_ = raw.SetReadDeadline(time.Now().Add(s.settings.dialTimeout))
-	c := newConn(s.settings.server(raw))
+	c := newConn(s.settings.server(raw), s.settings.traffic)
 	defer c.close()
 	if !s.add(c) {
 		return
--- /dev/null
+++ b/portage/traffic.go
@@ -0,0 +1,34 @@
+package portage
+
+import "sync/atomic"
+
+// Traffic counts what a process sends to its peers. The zero value is zero. It
+// is safe for concurrent use.
+type Traffic struct {
+	callBytes    atomic.Int64
+	controlBytes atomic.Int64
+	control      atomic.Int64
+}
+
+// CallBytes returns the bytes of calls and answers.
+func (t *Traffic) CallBytes() int64 { return t.callBytes.Load() }
+
+// ControlBytes returns the bytes of all other messages.
+func (t *Traffic) ControlBytes() int64 { return t.controlBytes.Load() }
+
+// ControlMessages returns the number of messages that are neither calls nor
+// answers.
+func (t *Traffic) ControlMessages() int64 { return t.control.Load() }
+
+func (t *Traffic) add(m Message, size int) {
+	if t == nil {
+		return
+	}
+	switch m.(type) {
+	case *Call, *Answer:
+		t.callBytes.Add(int64(size))
+	default:
+		t.controlBytes.Add(int64(size))
+		t.control.Add(1)
+	}
+}
--- /dev/null
+++ b/proof/records_test.go
@@ -0,0 +1,198 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cuminhollow.example/depot"
+	"cuminhollow.example/record"
+	"cuminhollow.example/standin/fleet"
+)
+
+// inForce is the time within which a record must be in force at every node.
+const inForce = 16 * time.Second
+
+// recordsPlan has nodes in six zones.
+func recordsPlan(vms int) fleet.Plan {
+	return fleet.Plan{
+		Services: []fleet.Service{{
+			Name:        "history",
+			Places:      fleet.Spread(vms, "kutch", "panchmahal", "dangs"),
+			Slots:       4,
+			ServiceTime: time.Millisecond,
+		}},
+		Records: map[string]string{"read": readRecord(1, 5)},
+	}
+}
+
+func readRecord(revision, rank int) string {
+	return fleet.Record(revision, fleet.Work{Kind: "read", Service: "history", Rank: rank, Target: time.Second, Idempotent: true})
+}
+
+// held returns the explanation of kind "read" at a node; the zero value when
+// the node does not answer.
+func held(f *fleet.Fleet, v *fleet.VM) depot.Explanation {
+	var e depot.Explanation
+	if err := f.Get(v, "/v1/explain?kind=read", &e); err != nil {
+		return depot.Explanation{}
+	}
+	return e
+}
+
+// allHold waits until every node holds the same document of a revision.
+func allHold(t *testing.T, f *fleet.Fleet, revision uint64) {
+	t.Helper()
+	began := time.Now()
+	eventually(t, fmt.Sprint("revision ", revision, " everywhere"), inForce, func() bool {
+		first := held(f, f.VMs[0]).Digest
+		for _, v := range f.VMs {
+			if e := held(f, v); e.Revision != revision || e.Digest != first {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("revision %d at %d nodes after %s", revision, len(f.VMs), time.Since(began))
+}
+
+func publish(t *testing.T, f *fleet.Fleet, text string) {
+	t.Helper()
+	if err := f.Publish("records/read", text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRecordReachesAll publishes revisions one after the other.
+func TestRecordReachesAll(t *testing.T) {
+	f := startFleet(t, recordsPlan(12))
+	for revision := 2; revision <= 4; revision++ {
+		publish(t, f, readRecord(revision, revision))
+		allHold(t, f, uint64(revision))
+	}
+}
+
+// TestPlatformDown replaces half of the nodes while the platform is down: they
+// get the newest documents from peers.
+func TestPlatformDown(t *testing.T) {
+	f := startFleet(t, recordsPlan(8))
+	publish(t, f, readRecord(2, 1))
+	allHold(t, f, 2)
+	if err := f.SetPlatform("down"); err != nil {
+		t.Fatal(err)
+	}
+	for i, v := range f.VMs {
+		if i%2 == 0 {
+			v.Node.Kill()
+			if err := v.Node.Restart(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	allHold(t, f, 2)
+	eventually(t, "all ready", inForce, func() bool { return f.WaitReady() == nil })
+	if r := call(f.VMs[0].CallerAddress, "read", "after"); r.outcome != "answered" {
+		t.Errorf("call: got %q (%s), want answered", r.outcome, r.reason)
+	}
+}
+
+// TestStalePlatform makes the platform serve an older copy and replaces nodes
+// meanwhile: none holds the older revision once it serves.
+func TestStalePlatform(t *testing.T) {
+	f := startFleet(t, recordsPlan(6))
+	if err := f.MarkPlatform(); err != nil {
+		t.Fatal(err)
+	}
+	publish(t, f, readRecord(2, 1))
+	allHold(t, f, 2)
+	if err := f.SetPlatform("stale"); err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range f.VMs[:3] {
+		v.Node.Kill()
+		if err := v.Node.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, v.Name+" ready", inForce, func() bool { return f.Ready(v) })
+		if got := held(f, v).Revision; got != 2 {
+			t.Errorf("%s: got revision %d once ready, want 2", v.Name, got)
+		}
+	}
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, v := range f.VMs {
+			if got := held(f, v).Revision; got != 2 {
+				t.Fatalf("%s: got revision %d, want 2", v.Name, got)
+			}
+		}
+	}
+}
+
+// TestRacingEdits has two operators publish other content under one revision:
+// all nodes settle on the same document and report the conflict.
+func TestRacingEdits(t *testing.T) {
+	f := startFleet(t, recordsPlan(8))
+	for revision := 2; revision <= 4; revision++ {
+		publish(t, f, readRecord(revision, 1))
+		publish(t, f, readRecord(revision, 2))
+		allHold(t, f, uint64(revision))
+	}
+	// The platform's copy may be the one that lost: a restart must not bring
+	// it back into force beside the other one.
+	for _, v := range f.VMs[:2] {
+		v.Node.Kill()
+		if err := v.Node.Restart(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	allHold(t, f, 4)
+}
+
+// TestPausedThroughRevisions stops a node through ten revisions.
+func TestPausedThroughRevisions(t *testing.T) {
+	f := startFleet(t, recordsPlan(6))
+	f.VMs[1].Node.Pause()
+	for revision := 2; revision <= 11; revision++ {
+		publish(t, f, readRecord(revision, revision%7))
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.VMs[1].Node.Resume()
+	allHold(t, f, 11)
+}
+
+// TestBadDocuments publishes what must not come into force: the last good
+// record stays, and the trail says why. Schema 1 replaces schema 2 and the
+// other way round.
+func TestBadDocuments(t *testing.T) {
+	f := startFleet(t, recordsPlan(3))
+	large := readRecord(3, 1) + "# " + strings.Repeat("x", record.MaxBytes)
+	bad := []struct{ text, reason string }{
+		{"schema: 9\nrevision: 3\nname: read\n", "schema 9 is not known"},
+		{readRecord(3, 99), "rank 99"},
+		{large[:record.MaxBytes+1], "more than the limit"},
+		{"schema: 2\nrevision: [", "records/read:"},
+	}
+	for _, b := range bad {
+		publish(t, f, b.text)
+		eventually(t, "refusal of "+b.reason, inForce, func() bool {
+			var trail []record.Change
+			if err := f.Get(f.VMs[0], "/v1/audit", &trail); err != nil {
+				return false
+			}
+			last := trail[len(trail)-1]
+			return last.Verdict == record.VerdictInvalid && strings.Contains(last.Reason, b.reason)
+		})
+		if got := held(f, f.VMs[0]); got.Revision != 1 || got.Rank != 5 {
+			t.Errorf("after %s: got revision %d, rank %d, want 1 and 5", b.reason, got.Revision, got.Rank)
+		}
+	}
+	publish(t, f, large[:record.MaxBytes])
+	allHold(t, f, 3)
+	publish(t, f, "schema: 1\nrevision: 4\nname: read\nservice: history\nrank: 3\ntarget_ms: 900\ntries: 1\nidempotent: true\n")
+	allHold(t, f, 4)
+	publish(t, f, "schema: 2\nrevision: 5\nkind: {name: read}\nretired: true\n")
+	allHold(t, f, 5)
+	if r := call(f.VMs[0].CallerAddress, "read", "retired"); r.outcome != "not-run" || r.reason != "retired-kind" {
+		t.Errorf("retired kind: got %q (%s), want not-run (retired-kind)", r.outcome, r.reason)
+	}
+}
--- a/record/book.go
+++ b/record/book.go
@@ -1,7 +1,7 @@
 package record
 
 import (
-	"errors"
+	"bytes"
 	"sync"
 	"sync/atomic"
 
@@ -42,21 +42,58 @@
 // Trail returns the audit trail of the book.
 func (b *Book) Trail() *Trail { return b.trail }
 
-// OfferBody parses body and offers the document. A body that Parse refuses
-// leaves the document in force untouched and is entered in the trail.
-func (b *Book) OfferBody(key string, body []byte, source string) Change {
-	d, err := Parse(key, body)
-	if err != nil {
-		return b.refuse(key, body, source, err)
-	}
-	return b.Offer(d, source)
+// Body is the text of a document and the key under which it was published.
+type Body struct {
+	Key  string
+	Text []byte
+}
+
+// OfferBody is OfferAll for one document.
+func (b *Book) OfferBody(key string, text []byte, source string) Change {
+	return b.OfferAll([]Body{{Key: key, Text: text}}, source)[0]
 }
 
-// Offer puts d in force unless the book holds a document that is as new.
-func (b *Book) Offer(d *Document, source string) Change {
+// OfferAll parses documents and puts each in force unless the book holds one
+// that is as new. A document that Parse refuses leaves the one in force
+// untouched and is entered in the trail. It returns a change for each body, in
+// their order.
+func (b *Book) OfferAll(bodies []Body, source string) []Change {
+	changes := make([]Change, len(bodies))
+	documents := make([]*Document, len(bodies))
+	faults := make([]error, len(bodies))
+	for i, body := range bodies {
+		if b.holds(body) {
+			continue
+		}
+		documents[i], faults[i] = Parse(body.Key, body.Text)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old := b.current.Load().Document(d.key)
+	next := b.current.Load().edit()
+	for i, body := range bodies {
+		switch {
+		case faults[i] != nil:
+			changes[i] = b.refuse(next, body, source, faults[i])
+		case documents[i] == nil:
+			changes[i] = Change{At: b.clock.Now(), Key: body.Key, Source: source, Verdict: VerdictSame}
+		default:
+			changes[i] = b.offer(next, documents[i], source)
+		}
+	}
+	if next.edited {
+		b.current.Store(next.snapshot)
+	}
+	return changes
+}
+
+// holds reports whether the text is that of the document in force.
+func (b *Book) holds(body Body) bool {
+	d := b.Snapshot().Document(body.Key)
+	return d != nil && bytes.Equal(d.body, body.Text)
+}
+
+func (b *Book) offer(next *edition, d *Document, source string) Change {
+	old := next.snapshot.Document(d.key)
 	change := Change{
 		At:     b.clock.Now(),
 		Key:    d.key,
@@ -69,7 +106,7 @@
 	}
 	change.Verdict, change.Reason = judge(d, old)
 	if old == nil || d.newer(old) {
-		b.current.Store(b.current.Load().with(d))
+		next.put(d)
 	}
 	if change.Verdict != VerdictSame && change.Verdict != VerdictOlder {
 		b.trail.Add(change)
@@ -92,34 +129,26 @@
 	}
 }
 
-func (b *Book) refuse(key string, body []byte, source string, err error) Change {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (b *Book) refuse(next *edition, body Body, source string, err error) Change {
+	digest := digestOf(body.Text)
 	change := Change{
 		At:      b.clock.Now(),
-		Key:     key,
+		Key:     body.Key,
+		Digest:  digest.String(),
 		Source:  source,
 		Verdict: VerdictInvalid,
 		Reason:  err.Error(),
 	}
-	if old := b.current.Load().Document(key); old != nil {
+	if old := next.snapshot.Document(body.Key); old != nil {
 		change.From = old.revision
 	}
-	digest := digestOf(body)
-	change.Digest = digest.String()
-	if b.reported[key] == digest {
+	if b.reported[body.Key] == digest {
 		return change
 	}
 	if len(b.reported) >= trailLimit {
 		clear(b.reported)
 	}
-	b.reported[key] = digest
+	b.reported[body.Key] = digest
 	b.trail.Add(change)
 	return change
 }
-
-// IsSchema reports whether err says that a document has an unknown schema.
-func IsSchema(err error) bool {
-	var e *Error
-	return errors.As(err, &e) && e.Kind == KindSchema
-}
--- a/record/snapshot.go
+++ b/record/snapshot.go
@@ -45,28 +45,37 @@
 	}
 }
 
-// with returns a copy of s in which d replaces the document of its key.
-func (s *Snapshot) with(d *Document) *Snapshot {
-	n := &Snapshot{
-		documents: maps.Clone(s.documents),
-		policies:  s.policies,
-		rosters:   s.rosters,
-		summary:   s.summary,
-	}
-	if n.documents == nil {
-		n.documents = make(map[string]*Document)
-	}
-	switch d.content.(type) {
-	case *Policy:
-		n.policies = maps.Clone(s.policies)
-	case *Roster:
-		n.rosters = maps.Clone(s.rosters)
+// edition is a snapshot that is being changed; it copies the maps of the one
+// that it comes from at the first change.
+type edition struct {
+	snapshot *Snapshot
+	edited   bool
+}
+
+func (s *Snapshot) edit() *edition { return &edition{snapshot: s} }
+
+// put replaces the document of d's key.
+func (e *edition) put(d *Document) {
+	if !e.edited {
+		e.snapshot = e.snapshot.clone()
+		e.edited = true
 	}
+	s := e.snapshot
 	if old := s.documents[d.key]; old != nil {
-		n.summary[Bucket(d.key)] ^= old.fingerprint()
+		s.summary[Bucket(d.key)] ^= old.fingerprint()
 	}
-	n.documents[d.key] = d
-	n.index(d)
+	s.documents[d.key] = d
+	s.index(d)
+}
+
+func (s *Snapshot) clone() *Snapshot {
+	n := &Snapshot{
+		documents: make(map[string]*Document, len(s.documents)+1),
+		policies:  maps.Clone(s.policies),
+		rosters:   maps.Clone(s.rosters),
+		summary:   s.summary,
+	}
+	maps.Copy(n.documents, s.documents)
 	return n
 }
 
@@ -98,6 +107,9 @@
 	return d.content.(*Policy)
 }
 
+// HasPolicies reports whether there is a policy for any kind of work.
+func (s *Snapshot) HasPolicies() bool { return len(s.policies) > 0 }
+
 // Roster returns the VMs of service, or nil.
 func (s *Snapshot) Roster(service string) *Roster {
 	d := s.rosters[service]
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -96,15 +95,13 @@
 }
 
 func (f *Fleet) startPlatform() error {
-	address, err := FreeAddress()
-	if err != nil {
-		return err
-	}
+	address := NewHost().Platform()
 	f.PlatformAddress = address
 	args := []string{"--listen", address}
 	if f.plan.PlatformRate > 0 {
 		args = append(args, "--rate", fmt.Sprint(f.plan.PlatformRate))
 	}
+	var err error
 	f.Platform, err = start(filepath.Join(f.bin, "platform"), filepath.Join(f.dir, "platform.log"), args...)
 	if err != nil {
 		return err
@@ -120,37 +117,27 @@
 }
 
 func (f *Fleet) newVM(s Service, i int, place Place) (*VM, error) {
+	host := NewHost()
 	v := &VM{
-		Name:    fmt.Sprintf("%s-%d", s.Name, i+1),
-		Service: s.Name,
-		Place:   place,
-		state:   "live",
-	}
-	for _, at := range []*string{&v.listen, &v.CallerAddress, &v.OnwardAddress, &v.OperatorAddress, &v.UpstreamAddress} {
-		address, err := FreeAddress()
-		if err != nil {
-			return nil, err
-		}
-		*at = address
-	}
-	relay, err := newRelay(v.listen)
+		Name:            fmt.Sprintf("%s-%d", s.Name, i+1),
+		Service:         s.Name,
+		Place:           place,
+		PeerAddress:     host.Relay(),
+		CallerAddress:   host.Callers(),
+		OnwardAddress:   host.Onward(),
+		OperatorAddress: host.Operators(),
+		UpstreamAddress: host.Upstream(),
+		state:           "live",
+		listen:          host.Peers(),
+	}
+	relay, err := newRelay(v.PeerAddress, v.listen)
 	if err != nil {
 		return nil, err
 	}
 	f.relays = append(f.relays, relay)
-	v.PeerAddress = relay.Address()
 	return v, nil
 }
 
-// FreeAddress returns a loopback address whose port was free a moment ago.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 func (f *Fleet) publishAll() error {
 	for kind, text := range f.plan.Records {
 		if err := f.Publish("records/"+kind, text); err != nil {
@@ -195,6 +182,37 @@
 	return f.expectOK(q)
 }
 
+// MarkPlatform keeps the documents of now as the copy that mode stale serves.
+func (f *Fleet) MarkPlatform() error {
+	q, err := http.NewRequest(http.MethodPost, "http://"+f.PlatformAddress+"/admin/mark", nil)
+	if err != nil {
+		return err
+	}
+	return f.expectOK(q)
+}
+
+// Reads returns the number of reads that the platform has answered.
+func (f *Fleet) Reads() (int, error) {
+	return f.number("http://" + f.PlatformAddress + "/admin/reads")
+}
+
+// Attempts returns the number of calls that reached a VM's upstream, refused
+// ones included.
+func (f *Fleet) Attempts(v *VM) (int, error) {
+	return f.number("http://" + v.UpstreamAddress + "/admin/attempts")
+}
+
+func (f *Fleet) number(url string) (int, error) {
+	res, err := f.client.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	var n int
+	err = json.NewDecoder(res.Body).Decode(&n)
+	return n, err
+}
+
 // SetUpstream changes the behaviour of a VM's upstream, for example with
 // "service-time=1s".
 func (f *Fleet) SetUpstream(v *VM, query string) error {
--- a/standin/fleet/relay.go
+++ b/standin/fleet/relay.go
@@ -28,8 +28,8 @@
 	once   sync.Once
 }
 
-func newRelay(target string) (*Relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newRelay(address, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -33,6 +33,7 @@
 	mux.HandleFunc("GET /v1/value", s.read(s.value))
 	mux.HandleFunc("PUT /admin/value", s.put)
 	mux.HandleFunc("POST /admin/mode", s.changeMode)
+	mux.HandleFunc("POST /admin/mark", func(http.ResponseWriter, *http.Request) { s.mark() })
 	mux.HandleFunc("GET /admin/reads", s.count)
 	return mux
 }
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -21,7 +21,7 @@
 	modeUp mode = "up"
 	// modeDown fails every read.
 	modeDown mode = "down"
-	// modeStale serves the copy kept when the mode was set.
+	// modeStale serves the copy kept by the last mark.
 	modeStale mode = "stale"
 )
 
@@ -36,8 +36,8 @@
 
 	mu     sync.Mutex
 	values map[string]value
-	// frozen is the copy that modeStale serves.
-	frozen map[string]value
+	// marked is the copy that modeStale serves.
+	marked map[string]value
 	index  uint64
 	mode   mode
 	reads  int64
@@ -87,13 +87,17 @@
 func (s *store) setMode(m mode) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m == modeStale && s.mode != modeStale {
-		s.frozen = maps.Clone(s.values)
-	}
 	s.mode = m
 	s.notify()
 }
 
+// mark keeps a copy of the documents for modeStale.
+func (s *store) mark() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.marked = maps.Clone(s.values)
+}
+
 func (s *store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -107,7 +111,7 @@
 	s.reads++
 	values = s.values
 	if s.mode == modeStale {
-		values = s.frozen
+		values = s.marked
 	}
 	values = maps.Clone(values)
 	for _, v := range values {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -35,6 +35,8 @@
 	client  *http.Client
 	slots   chan struct{}
 	running atomic.Int64
+	// attempts counts the calls that arrived, refused ones included.
+	attempts atomic.Int64
 	// peak is the most calls that ran at a time.
 	peak atomic.Int64
 	// serviceTime is the mean time of a call, in nanoseconds.
@@ -67,6 +69,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/runs", u.runs)
 	mux.HandleFunc("GET /admin/peak", u.highest)
+	mux.HandleFunc("GET /admin/attempts", u.arrived)
 	mux.HandleFunc("POST /admin/set", u.set)
 	mux.HandleFunc("/", u.serve)
 	return mux
@@ -79,6 +82,7 @@
 	if err != nil {
 		return
 	}
+	u.attempts.Add(1)
 	if u.failing.Load() {
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
@@ -191,6 +195,10 @@
 	_ = json.NewEncoder(w).Encode(u.peak.Load())
 }
 
+func (u *upstream) arrived(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(u.attempts.Load())
+}
+
 // set changes the behaviour: service-time, failing and draining.
 func (u *upstream) set(w http.ResponseWriter, q *http.Request) {
 	values := q.URL.Query()
