booking: let the first class wait, and cut onward calls by failures

A seal was refused whenever certificates held the four slots, since its queue was a quarter of the spare time, and its throttle fell by the share of failures among three calls in a window. Change: a class that nothing goes before may wait 0.7 of its spare time, falling to 0.1 when lower classes take everything; the throttle loses 8 % for each failure, at most half in a window, and grows only after windows without any.

--- a/booking/call.go
+++ b/booking/call.go
@@ -18,6 +18,8 @@
 	kind     string
 	caller   string
 	deadline clock.Millis
+	// latest is the last time at which a queued call may start.
+	latest clock.Millis
 	// decided receives exactly one verdict if the call was queued.
 	decided chan Verdict
 	started clock.Millis
@@ -33,5 +35,9 @@
 // Class returns the class of the call.
 func (c *Call) Class() Class { return c.class }
 
+// Latest returns the time from which on a queued call would end too late, so
+// that waiting for it makes no sense.
+func (c *Call) Latest() clock.Millis { return c.latest }
+
 // Decided receives VerdictStart or a refusal once for a call that was queued.
 func (c *Call) Decided() <-chan Verdict { return c.decided }
--- a/booking/desk.go
+++ b/booking/desk.go
@@ -9,8 +9,11 @@
 const (
 	// queuePerSlot is the default queue length for each slot.
 	queuePerSlot = 8
-	// waitShare is the part of a call's spare time that it may wait.
-	waitShare = 0.25
+	// waitShare is the part of its spare time that a call may wait when lower
+	// classes take nearly everything, and waitShareAlone when they take nothing
+	// and its place in the queue is certain.
+	waitShare      = 0.1
+	waitShareAlone = 0.7
 	// fullShare is the share of starts from which lower classes are taken to
 	// leave nothing.
 	fullShare = 0.98
@@ -78,6 +81,7 @@
 		return VerdictShed
 	}
 	c.decided = make(chan Verdict, 1)
+	c.latest = d.latestStart(c)
 	c.state = callWaiting
 	d.queue(c).push(c)
 	d.waiting++
@@ -110,7 +114,7 @@
 	rate := float64(d.limiter.current()) * (1 - share)
 	wait := float64(ahead+1) * d.load.all.mean / rate
 	left := float64(c.deadline-now) - d.load.likely(c.kind)
-	return wait > left*waitShare
+	return wait > left*(waitShareAlone-share*(waitShareAlone-waitShare))
 }
 
 // makeRoom evicts a call of the highest class that waits, unless that class
@@ -181,7 +185,7 @@
 func (d *Desk) startWaiting(now clock.Millis) {
 	for d.waiting > 0 && d.running < d.limiter.current() {
 		c := d.pop()
-		if d.tooLate(now, c) {
+		if now >= d.latestStart(c) {
 			d.refuse(c, VerdictExpired)
 			continue
 		}
@@ -191,15 +195,12 @@
 	}
 }
 
-// tooLate reports whether c cannot finish even if it starts now.
-func (d *Desk) tooLate(now clock.Millis, c *Call) bool {
-	if now >= c.deadline {
-		return true
-	}
+// latestStart returns when c must start to end by its deadline.
+func (d *Desk) latestStart(c *Call) clock.Millis {
 	if _, ranked := d.policy.(RankedQueue); !ranked {
-		return false
+		return c.deadline
 	}
-	return float64(now)+d.load.likely(c.kind) > float64(c.deadline)
+	return c.deadline - clock.Millis(d.load.likely(c.kind))
 }
 
 func (d *Desk) pop() *Call {
--- a/booking/throttle.go
+++ b/booking/throttle.go
@@ -11,16 +11,14 @@
 	// throttleWindow is the span over which failures are counted, in
 	// milliseconds.
 	throttleWindow clock.Millis = 100
-	// throttleShare is the share of failures that is accepted: it tells that
-	// the services further down are in full use.
-	throttleShare = 0.02
+	// throttleCut is kept of the calls after each onward call that fails, and
+	// throttleFloor after all those of one window.
+	throttleCut   = 0.92
+	throttleFloor = 0.5
 	// throttleFirst is the growth after the first window without too many
 	// failures; it doubles with each further one up to throttleLimit.
 	throttleFirst = 0.02
 	throttleLimit = 0.5
-	// throttleCut is the least part of the calls that is kept after one window:
-	// few calls say little about the capacity.
-	throttleCut = 0.5
 	// throttleMin keeps some calls going, so that recovery is noticed.
 	throttleMin = 0.01
 )
@@ -38,11 +36,14 @@
 
 // throttled is the state of one group.
 type throttled struct {
-	// admit is the share of calls let through, from throttleMin to 1.
-	admit float64
-	// growth is the relative growth of admit after the next good window.
-	growth     float64
-	good, bad  int
+	// admit is the share of calls let through, from throttleMin to 1; floor is
+	// the least that it becomes in this window.
+	admit, floor float64
+	// growth is the relative growth of admit after the next window without
+	// failures.
+	growth float64
+	// failed tells whether an onward call failed in this window.
+	failed     bool
 	windowEnds clock.Millis
 }
 
@@ -60,16 +61,15 @@
 		if !failed || len(t.groups) >= maxKinds {
 			return
 		}
-		g = &throttled{admit: 1, growth: throttleFirst, windowEnds: now + throttleWindow}
+		g = &throttled{admit: 1, floor: throttleFloor, growth: throttleFirst, windowEnds: now + throttleWindow}
 		t.groups[group] = g
 	}
+	g.roll(now)
 	if failed {
-		g.bad++
-	} else {
-		g.good++
+		g.failed = true
+		g.admit = max(g.admit*throttleCut, g.floor, throttleMin)
 	}
-	g.roll(now)
-	if g.admit == 1 && g.bad == 0 {
+	if g.admit == 1 {
 		delete(t.groups, group)
 	}
 }
@@ -77,25 +77,23 @@
 // roll judges every window that has ended. A window without onward calls
 // counts as good: only more calls can tell.
 func (g *throttled) roll(now clock.Millis) {
-	for now >= g.windowEnds && (g.admit < 1 || g.good+g.bad > 0) {
+	for now >= g.windowEnds && (g.admit < 1 || g.failed) {
 		g.judge()
 		g.windowEnds += throttleWindow
 	}
 	g.windowEnds = max(g.windowEnds, now)
 }
 
-// judge moves the share of calls let through at the end of a window.
+// judge lets more calls through after a window without failures.
 func (g *throttled) judge() {
-	share := float64(g.bad) / float64(max(g.good+g.bad, 1))
-	if share > throttleShare {
-		keep := max(1-share+throttleShare, throttleCut)
-		g.admit = max(throttleMin, g.admit*keep)
+	if g.failed {
 		g.growth = throttleFirst
 	} else {
 		g.admit = min(1, g.admit*(1+g.growth))
 		g.growth = min(2*g.growth, throttleLimit)
 	}
-	g.good, g.bad = 0, 0
+	g.failed = false
+	g.floor = g.admit * throttleFloor
 }
 
 // Admit reports whether a call of a group is worth running.
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/claim"
@@ -67,6 +68,8 @@
 		e.refuse(w, name, policy, reason)
 		return
 	}
+	// The limit on reading the request must not end the wait for its answer.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	stop := context.AfterFunc(q.Context(), cancel)
--- a/depot/fixture_test.go
+++ b/depot/fixture_test.go
@@ -47,6 +47,11 @@
 
 // startSite starts both nodes; transport is the settings' section of each.
 func startSite(t testing.TB, upstream http.Handler, transports ...string) *site {
+	t.Helper()
+	return startSiteWith(t, nil, upstream, transports...)
+}
+
+func startSiteWith(t testing.TB, opts []Option, upstream http.Handler, transports ...string) *site {
 	t.Helper()
 	u := httptest.NewServer(upstream)
 	t.Cleanup(u.Close)
@@ -64,8 +69,8 @@
 	}
 	s := &site{upstream: strings.TrimPrefix(u.URL, "http://")}
 	platformAddress := strings.TrimPrefix(platform.URL, "http://")
-	s.owner = startNode(t, "sealing", ownerHost, s.upstream, platformAddress, transports[0])
-	s.entry = startNode(t, "desk", entryHost, s.upstream, platformAddress, transports[1])
+	s.owner = startNode(t, "sealing", ownerHost, s.upstream, platformAddress, transports[0], opts...)
+	s.entry = startNode(t, "desk", entryHost, s.upstream, platformAddress, transports[1], opts...)
 	return s
 }
 
@@ -74,7 +79,7 @@
 		service, service, address)
 }
 
-func startNode(t testing.TB, service string, host fleet.Host, upstream, platform, transport string) *Node {
+func startNode(t testing.TB, service string, host fleet.Host, upstream, platform, transport string, opts ...Option) *Node {
 	t.Helper()
 	s, err := ParseSettings("test", fmt.Appendf(nil, `vm: %s-1
 service: %s
@@ -89,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := New(s)
+	n, err := New(s, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/depot/node.go
+++ b/depot/node.go
@@ -25,8 +25,8 @@
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the reading of a whole request.
-	bodyTimeout = 30 * time.Second
+	// defaultBodyTimeout is the default of WithBodyTimeout.
+	defaultBodyTimeout = 30 * time.Second
 	// idleTimeout bounds a caller's connection between two requests.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a request.
@@ -56,6 +56,8 @@
 	ready    atomic.Bool
 	linkOpts []portage.Option
 	traffic  portage.Traffic
+	// bodyTimeout bounds the reading of a whole request.
+	bodyTimeout time.Duration
 	// incarnation is drawn anew by each process.
 	incarnation uint64
 }
@@ -68,12 +70,18 @@
 	return func(n *Node) { n.log = log }
 }
 
+// WithBodyTimeout bounds the reading of a whole request; the default is 30 s.
+func WithBodyTimeout(d time.Duration) Option {
+	return func(n *Node) { n.bodyTimeout = d }
+}
+
 // New builds a node. It opens no sockets yet.
 func New(s *Settings, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings:    s,
 		clock:       clock.NewSystem(),
 		log:         zerolog.Nop(),
+		bodyTimeout: defaultBodyTimeout,
 		incarnation: newIncarnation(),
 	}
 	for _, o := range opts {
@@ -242,7 +250,7 @@
 	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
+		ReadTimeout:       n.bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/depot/node_test.go
+++ b/depot/node_test.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// TestLongCall takes longer for an answer than the limit on reading a request:
+// the call is not cut off.
+func TestLongCall(t *testing.T) {
+	s := startSiteWith(t, []Option{WithBodyTimeout(100 * time.Millisecond)}, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-q.Context().Done():
+		}
+	}))
+	for _, kind := range []string{"read", "seal"} {
+		res, p := send(t, s.entry.settings.listen.Callers, http.MethodPost, "/", "burn", HeaderKind, kind)
+		if got, want := res.Header.Get(HeaderOutcome), "answered"; got != want {
+			t.Errorf("%s: got %q (%s), want %q", kind, got, p.Reason, want)
+		}
+	}
+}
+
 // TestNoUpstream has no upstream that listens: the work did not run.
 func TestNoUpstream(t *testing.T) {
 	u := newUpstream(upstreamSettings{Address: "127.0.0.1:1", Slots: 1, Connections: 1})
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -145,7 +145,7 @@
 	b := booking.NewCall(booking.Class(c.Class), c.Group, c.Caller, deadline)
 	v := o.desk.Admit(o.clock.Now(), b)
 	if v == booking.VerdictQueued {
-		v = o.queued(ctx, b, deadline)
+		v = o.queued(ctx, b)
 	}
 	o.metrics.verdict(v)
 	switch v {
@@ -158,9 +158,11 @@
 	return notRun(reasonOverload, c.Grant)
 }
 
-// queued waits for the verdict on a queued call.
-func (o *owner) queued(ctx context.Context, b *booking.Call, deadline clock.Millis) booking.Verdict {
-	ctx, cancel := withDeadline(ctx, o.clock, deadline)
+// queued waits for the verdict on a queued call, while it can still end in
+// time. The refusal of one that cannot then reaches the entry before the
+// deadline, and is not taken for a lost answer.
+func (o *owner) queued(ctx context.Context, b *booking.Call) booking.Verdict {
+	ctx, cancel := withDeadline(ctx, o.clock, b.Latest())
 	defer cancel()
 	select {
 	case v := <-b.Decided():
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -175,7 +175,10 @@
 
 // plan returns the deployment of the experiment.
 func (e *Experiment) plan(policy List) fleet.Plan {
-	p := fleet.Plan{Policy: policy}
+	p := fleet.Plan{Policy: policy, Direct: true}
+	for _, s := range e.Stages {
+		p.Direct = p.Direct && len(s.Cut) == 0
+	}
 	for _, s := range e.Services {
 		p.Services = append(p.Services, fleet.Service{
 			Name:        s.Name,
--- a/load/report.go
+++ b/load/report.go
@@ -47,8 +47,15 @@
 	TriesPerRequest float64 `json:"tries_per_request"`
 	// Doubled is the number of pieces of non-idempotent work that ran twice.
 	Doubled int `json:"doubled"`
-	// Untrue is the number of requests told not-run that ran.
+	// Mixed is the number of answers to another request.
 	Mixed int `json:"mixed_up"`
+	// RunCPU is the processor time of all nodes for each run on an upstream,
+	// in microseconds.
+	RunCPU float64 `json:"node_cpu_us_per_run"`
+	// IdleMB and LoadMB are the resident memory of the largest node before and
+	// after the load, in megabytes.
+	IdleMB float64 `json:"idle_mb"`
+	LoadMB float64 `json:"load_mb"`
 	// Series holds the good answers in each span of time by kind.
 	Series map[string][]int `json:"series"`
 }
@@ -100,6 +107,16 @@
 	return out
 }
 
+// megabyte is the unit of memory in reports, in bytes.
+const megabyte = 1e6
+
+// noteUsage compares what the nodes had used before the load and after it.
+func (r *Report) noteUsage(before, after fleet.Usage) {
+	r.IdleMB = float64(before.Resident) / megabyte
+	r.LoadMB = float64(after.Resident) / megabyte
+	r.RunCPU = float64((after.CPU - before.CPU).Microseconds()) / float64(max(r.Runs, 1))
+}
+
 func stageReport(e *Experiment, s Stage, kinds map[string]*counts) StageReport {
 	out := StageReport{Name: s.Name, Kinds: kinds, IdealRate: e.ideal(s)}
 	var got, want float64
@@ -183,6 +200,8 @@
 	if err := w.Flush(); err != nil {
 		return trace.Wrap(err)
 	}
+	_, _ = fmt.Fprintf(out, "nodes: %.0f µs of CPU for each run, resident %.1f MB before and %.1f MB after the load\n",
+		r.RunCPU, r.IdleMB, r.LoadMB)
 	_, err := fmt.Fprintf(out, "recovery %d ms, refusals p99 %.1f ms, runs %d, wasted %.1f%%, sent per request %.2f, doubled %d, mixed up %d\n",
 		r.RecoveryMS, r.RefusalP99MS, r.Runs, 100*r.Wasted, r.TriesPerRequest, r.Doubled, r.Mixed)
 	return trace.Wrap(err)
--- a/load/run.go
+++ b/load/run.go
@@ -28,6 +28,7 @@
 	}
 	defer f.Stop()
 	r := newResults(e)
+	before := f.NodeUsage()
 	began := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -41,7 +42,9 @@
 	if err := <-faults; err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return newReport(e, policy, r, f), nil
+	report := newReport(e, policy, r, f)
+	report.noteUsage(before, f.NodeUsage())
+	return report, nil
 }
 
 // disturb causes the faults of each stage and ends them with it.
--- a/node/main.go
+++ b/node/main.go
@@ -65,5 +65,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	go tuneMemory(ctx)
 	return trace.Wrap(n.Run(ctx))
 }
--- a/portage/conn.go
+++ b/portage/conn.go
@@ -18,12 +18,16 @@
 	finishTimeout = 500 * time.Millisecond
 )
 
-// conn is one framed connection. Frames are written by a goroutine of its own,
-// several in one system call when they queue up.
+// conn is one framed connection. A frame is written at once by whoever sends it
+// if nobody else is writing, which saves a switch of goroutines; otherwise it
+// is queued for the connection's own goroutine, which writes several in one
+// system call.
 type conn struct {
 	raw     net.Conn
 	traffic *Traffic
 	reader  *bufio.Reader
+	// writing is held while bytes are written.
+	writing sync.Mutex
 	send    chan []byte
 	closed  chan struct{}
 	once    sync.Once
@@ -76,15 +80,38 @@
 		return &Error{Op: "send", Kind: KindNotSent, Err: net.ErrClosed}
 	default:
 	}
+	c.traffic.add(m, len(frame))
+	if c.writeNow(frame) {
+		return nil
+	}
 	select {
 	case c.send <- frame:
-		c.traffic.add(m, len(frame))
 		return nil
 	case <-c.closed:
 		return &Error{Op: "send", Kind: KindNotSent, Err: net.ErrClosed}
 	}
 }
 
+// writeNow writes a frame if nothing else is being written or waits for it. A
+// write that fails closes the connection; the frame then counts as sent, since
+// a part of it may be.
+func (c *conn) writeNow(frame []byte) bool {
+	if len(c.send) > 0 || !c.writing.TryLock() {
+		return false
+	}
+	defer c.writing.Unlock()
+	if !c.writeAll(frame) {
+		c.close()
+	}
+	return true
+}
+
+func (c *conn) writeAll(frame []byte) bool {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.raw.Write(frame)
+	return err == nil
+}
+
 // receive reads the next message.
 func (c *conn) receive() (Message, error) {
 	return ReadFrame(c.reader)
@@ -117,6 +144,8 @@
 
 // writeBatch writes frame and all frames that are queued behind it.
 func (c *conn) writeBatch(w *bufio.Writer, frame []byte) bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for {
 		if _, err := w.Write(frame); err != nil {
--- /dev/null
+++ b/proof/added_test.go
@@ -0,0 +1,72 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cuminhollow.example/standin/fleet"
+)
+
+// BenchmarkAdded compares calls through two nodes with calls straight to the
+// upstream, in turn, over real processes. It reports percentiles of the direct
+// call and of what is added, and the nodes' processor time for a call, in
+// microseconds.
+func BenchmarkAdded(b *testing.B) {
+	plan := certifyPlan(1, time.Millisecond, 0)
+	plan.Direct = true
+	f, err := fleet.Start(bin, b.TempDir(), plan)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Stop()
+	owner, entry := f.Service("certifying")[0], f.Service("desk")[0]
+	if err := f.SetUpstream(owner, "service-time=0s"); err != nil {
+		b.Fatal(err)
+	}
+	for _, kind := range []string{"history", "certificate"} {
+		b.Run(kind, func(b *testing.B) {
+			direct := hdrhistogram.New(1, 10_000_000, 3)
+			through := hdrhistogram.New(1, 10_000_000, 3)
+			before := f.NodeUsage()
+			n := 0
+			for b.Loop() {
+				timeCall(b, direct, owner.UpstreamAddress, kind)
+				timeCall(b, through, entry.CallerAddress, kind)
+				n++
+			}
+			used := f.NodeUsage().CPU - before.CPU
+			b.ReportMetric(float64(used.Microseconds())/float64(n), "node-cpu-µs")
+			for _, q := range []float64{50, 99} {
+				d := direct.ValueAtQuantile(q)
+				b.ReportMetric(float64(d), fmt.Sprintf("direct-p%.0f-µs", q))
+				b.ReportMetric(float64(through.ValueAtQuantile(q)-d), fmt.Sprintf("added-p%.0f-µs", q))
+			}
+		})
+	}
+}
+
+func timeCall(b *testing.B, h *hdrhistogram.Histogram, address, kind string) {
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/", strings.NewReader(strings.Repeat("x", 512)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	q.Header.Set("Cuminhollow-Kind", kind)
+	began := time.Now()
+	res, err := client.Do(q)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	_ = h.RecordValue(time.Since(began).Microseconds())
+	if res.StatusCode != http.StatusOK {
+		b.Fatalf("got status %d, want 200", res.StatusCode)
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -130,6 +130,10 @@
 		state:           "live",
 		listen:          host.Peers(),
 	}
+	if f.plan.Direct {
+		v.PeerAddress = v.listen
+		return v, nil
+	}
 	relay, err := newRelay(v.PeerAddress, v.listen)
 	if err != nil {
 		return nil, err
--- a/standin/fleet/plan.go
+++ b/standin/fleet/plan.go
@@ -15,6 +15,9 @@
 	// Policy is the policy section of the nodes' settings, one "key: value" a
 	// line; empty for the product's own.
 	Policy []string
+	// Direct leaves out the relays between nodes, so that their connections
+	// cannot be made to fail.
+	Direct bool
 	// PlatformRate is the number of reads a second that the platform answers;
 	// 0 means its default.
 	PlatformRate int
