depot: apply rosters in the order of the book

Cause: two batches of documents that arrive at the same time were each put in force in order, but the router was told afterwards and in any order, so an older roster could replace a newer one there until the next change.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 TOOLS := bin/tools
 LINT_VERSION := v2.15.0
 MODULES := . ./node ./cuminhollow ./load ./standin/platform ./standin/upstream
+PACKAGES := $(MODULES:%=%/...)
 PROGRAMS := ./node ./cuminhollow ./load ./standin/platform ./standin/upstream
 
 .PHONY: all build demo test unit race lint fmt spec fuzz clean
@@ -22,10 +23,10 @@
 	bash .ci/run
 
 unit:
-	$(GO) test ./...
+	$(GO) test $(PACKAGES)
 
 race:
-	$(GO) test -race ./...
+	$(GO) test -race $(PACKAGES)
 
 $(TOOLS)/golangci-lint:
 	mkdir -p $(TOOLS)
--- a/depot/spread.go
+++ b/depot/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,8 @@
 	schedule registry.Schedule
 	log      zerolog.Logger
 	seeds    []string
+	// applying is held while the router and the fleet follow the book.
+	applying sync.Mutex
 	fleet    atomic.Pointer[registry.Fleet]
 	// heard is when an exchange with a peer last succeeded, on the clock.
 	heard atomic.Int64
@@ -61,18 +64,32 @@
 
 // offer takes documents from the platform or a peer.
 func (s *spread) offer(source string, bodies ...record.Body) {
-	changes := s.book.OfferAll(bodies, source)
-	now := s.book.Snapshot()
-	rosters := false
-	for _, c := range changes {
+	var changed []string
+	for _, c := range s.book.OfferAll(bodies, source) {
 		if c.Verdict == record.VerdictSame || c.Verdict == record.VerdictOlder {
 			continue
 		}
 		s.report(c)
-		if c.Verdict == record.VerdictInvalid {
-			continue
+		if c.Verdict != record.VerdictInvalid {
+			changed = append(changed, c.Key)
 		}
-		d := now.Document(c.Key)
+	}
+	if len(changed) > 0 {
+		s.apply(changed)
+	}
+}
+
+// apply makes the documents in force known to the router, the fleet and the
+// peers. Two batches may arrive at the same time: each takes the newest
+// snapshot while it holds the mutex, so that the older batch cannot bring back
+// an older roster.
+func (s *spread) apply(keys []string) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	now := s.book.Snapshot()
+	rosters := false
+	for _, key := range keys {
+		d := now.Document(key)
 		if r, ok := d.Content().(*record.Roster); ok {
 			s.peers.forget(s.router.Update(r))
 			rosters = true
--- /dev/null
+++ b/depot/spread_test.go
@@ -0,0 +1,84 @@
+package depot
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+)
+
+func newTestSpread() *spread {
+	c := clock.NewSystem()
+	router := dispatch.NewRouter("self", dispatch.Place{Region: "kutch", Zone: "kutch-a"})
+	return &spread{
+		self:   "self",
+		zone:   "kutch-a",
+		clock:  c,
+		book:   record.NewBook(c),
+		router: router,
+		peers:  newPeers(c, portage.Hello{}, router, nil),
+		log:    zerolog.Nop(),
+		fresh:  make(chan *record.Document, freshQueue),
+	}
+}
+
+// TestRostersAtTheSameTime takes the revisions of a roster from many peers at
+// the same time: the router ends with the newest.
+func TestRostersAtTheSameTime(t *testing.T) {
+	const rounds, revisions = 2000, 8
+	for range rounds {
+		s := newTestSpread()
+		var wg sync.WaitGroup
+		for n := 1; n <= revisions; n++ {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				text := fmt.Sprintf("schema: 1\nrevision: %d\nservice: s\nvms:\n  - {name: vm, region: r, zone: z, address: \"h:%d\", state: live}\n", n, n)
+				s.offer("peer", record.Body{Key: "vms/s", Text: []byte(text)})
+			}()
+		}
+		wg.Wait()
+		got, _ := s.router.Address("s", "vm")
+		if want := fmt.Sprint("h:", revisions); got != want {
+			t.Fatalf("address: got %q, want %q of the newest roster", got, want)
+		}
+	}
+}
+
+// TestCompareDocuments matches what a peer lists with what is in force.
+func TestCompareDocuments(t *testing.T) {
+	s := newTestSpread()
+	for _, key := range []string{"read", "seal"} {
+		s.offer("platform", record.Body{Key: "records/" + key, Text: fmt.Appendf(nil,
+			"schema: 1\nrevision: 5\nname: %s\nservice: s\ntarget_ms: 1\ntries: 1\n", key)})
+	}
+	now := s.book.Snapshot()
+	read := now.Document("records/read")
+	digest := read.Digest()
+	buckets := []int{record.Bucket("records/read"), record.Bucket("records/seal"), record.Bucket("records/lot")}
+	tests := []struct {
+		name            string
+		versions        []portage.Version
+		wanted, surplus int
+	}{
+		{"nothing listed", nil, 0, 2},
+		{"same", []portage.Version{{Key: "records/read", Revision: 5, Digest: digest[:]}}, 0, 1},
+		{"newer there", []portage.Version{{Key: "records/read", Revision: 6}}, 1, 1},
+		{"older there", []portage.Version{{Key: "records/read", Revision: 4}}, 0, 2},
+		{"unknown here", []portage.Version{{Key: "records/lot", Revision: 1}}, 1, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wanted, surplus := compare(now, &portage.Listing{Buckets: buckets, Versions: tt.versions})
+			if len(wanted) != tt.wanted || len(surplus) != tt.surplus {
+				t.Errorf("got %d wanted and %d surplus, want %d and %d", len(wanted), len(surplus), tt.wanted, tt.surplus)
+			}
+		})
+	}
+}
--- a/load/generator.go
+++ b/load/generator.go
@@ -49,7 +49,7 @@
 	g := &generator{
 		experiment: e,
 		results:    r,
-		random:     rand.New(rand.NewPCG(e.Seed, 0)),
+		random:     newRandom(e.Seed),
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	for i := range f.VMs {
@@ -62,6 +62,8 @@
 	return g
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
 // run sends the arrivals of all stages and waits for their answers.
 func (g *generator) run(ctx context.Context, began time.Time) {
 	var wg sync.WaitGroup
