--- a/depot/platform.go
+++ b/depot/platform.go
@@ -28,7 +28,7 @@
 	readBatch = 128
 	// readRate is the number of documents that a node reads a second beyond the
 	// first batch, so that all readers together stay below the platform's rate.
-	readRate = 20
+	readRate = 16
 	// newestFirst is the number of documents read in the order of their change.
 	newestFirst = 32
 	// listingLimit bounds the size of a listing, in bytes.
