depot: send a call again when its connection ended before a byte left

Ruled out: dialling (the listener was up, and a dial would have taken longer). Change: the link tells a connection that had just ended from one that cannot be made; the entry takes another connection up to three times. Nothing was sent, so no try is spent.

--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -18,6 +18,9 @@
 	// up to askPauseLimit, each with jitter.
 	askPause      = 10 * time.Millisecond
 	askPauseLimit = 200 * time.Millisecond
+	// maxClosed is the number of connections that may end just before a call
+	// is written to them.
+	maxClosed = 3
 )
 
 // order is a call on its way to an owner.
@@ -183,7 +186,7 @@
 // ask sends the call and, for a ticket, presents it again to the same owner
 // over new connections until there is an answer or ctx ends.
 func (s *sender) ask(ctx context.Context, link *portage.Link, c *portage.Call, o *order) (*portage.Answer, bool, error) {
-	sent := false
+	sent, closed := false, 0
 	for pause := askPause; ; pause = min(2*pause, askPauseLimit) {
 		c.TimeLeftMS = int64(o.run.deadline - s.clock.Now())
 		r, err := link.Do(ctx, c)
@@ -191,7 +194,13 @@
 			a, err := checked(c, r)
 			return a, true, err
 		}
-		sent = sent || !isNotSent(err)
+		kind := kindOf(err)
+		if kind == portage.KindClosed && closed < maxClosed {
+			// No byte left: this is not a try, and spends none.
+			closed++
+			continue
+		}
+		sent = sent || kind != portage.KindNotSent && kind != portage.KindClosed
 		if !sent || c.Ticket == "" || !clock.Sleep(ctx, rand.N(2*pause)) {
 			return nil, sent, err
 		}
@@ -199,9 +208,13 @@
 	}
 }
 
-func isNotSent(err error) bool {
+// kindOf returns the kind of an error of a link; 0 for any other error.
+func kindOf(err error) portage.ErrorKind {
 	var e *portage.Error
-	return errors.As(err, &e) && e.Kind == portage.KindNotSent
+	if !errors.As(err, &e) {
+		return 0
+	}
+	return e.Kind
 }
 
 // checked makes sure that the answer is whole and belongs to the call.
--- a/portage/channel.go
+++ b/portage/channel.go
@@ -65,7 +65,7 @@
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	if ch.failed != nil {
-		return nil, &Error{Op: "send", Kind: KindNotSent, Err: ch.failed}
+		return nil, &Error{Op: "send", Kind: KindClosed, Err: ch.failed}
 	}
 	ch.last++
 	q.setStream(ch.last)
--- a/portage/conn.go
+++ b/portage/conn.go
@@ -77,7 +77,7 @@
 	}
 	select {
 	case <-c.closed:
-		return &Error{Op: "send", Kind: KindNotSent, Err: net.ErrClosed}
+		return &Error{Op: "send", Kind: KindClosed, Err: net.ErrClosed}
 	default:
 	}
 	c.traffic.add(m, len(frame))
@@ -88,7 +88,7 @@
 	case c.send <- frame:
 		return nil
 	case <-c.closed:
-		return &Error{Op: "send", Kind: KindNotSent, Err: net.ErrClosed}
+		return &Error{Op: "send", Kind: KindClosed, Err: net.ErrClosed}
 	}
 }
 
--- a/portage/error.go
+++ b/portage/error.go
@@ -9,6 +9,9 @@
 const (
 	// KindNotSent marks a request of which no byte was written: it did not run.
 	KindNotSent ErrorKind = iota + 1
+	// KindClosed marks a request of which no byte left because the connection
+	// had just ended; another connection may be there.
+	KindClosed
 	// KindLost marks a request whose answer did not arrive: it may have run.
 	KindLost
 	// KindFrame marks bytes that are no valid frame or message.
@@ -22,6 +25,8 @@
 	switch k {
 	case KindNotSent:
 		return "not-sent"
+	case KindClosed:
+		return "closed"
 	case KindLost:
 		return "lost"
 	case KindFrame:
--- a/portage/link.go
+++ b/portage/link.go
@@ -50,9 +50,9 @@
 	return ch.welcome, nil
 }
 
-// Do sends q and waits for its response. The error is an *Error: KindNotSent
-// says that no byte of q left, KindLost that the response did not arrive; it
-// wraps the error of ctx when that ended first, in which case the peer is told
+// Do sends q and waits for its response. The error is an *Error: KindNotSent and
+// KindClosed say that no byte of q left, KindLost that the response did not
+// arrive; it wraps the error of ctx when that ended first, in which case the peer is told
 // to cancel q.
 func (l *Link) Do(ctx context.Context, q Request) (Response, error) {
 	ch, err := l.channel(ctx)
--- a/portage/link_test.go
+++ b/portage/link_test.go
@@ -141,6 +141,27 @@
 	}
 }
 
+// TestConnectionJustEnded sends on a connection that has ended while the link
+// still holds it: nothing left, and the next request gets another connection.
+func TestConnectionJustEnded(t *testing.T) {
+	_, _, address := startEcho(t)
+	link := NewLink(address, Hello{VM: "a"})
+	defer link.Close()
+	if _, err := link.Connect(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ended := link.current
+	link.drop(ended, net.ErrClosed)
+	_, err := ended.do(t.Context(), &Call{})
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindClosed {
+		t.Errorf("ended connection: got %v, want kind %s", err, KindClosed)
+	}
+	if _, err := link.Do(t.Context(), &Call{}); err != nil {
+		t.Errorf("next request: got %v, want an answer", err)
+	}
+}
+
 func TestNothingListens(t *testing.T) {
 	link := NewLink("127.0.0.1:1", Hello{VM: "a"})
 	defer link.Close()
