proof: one check that every call was answered

Seven tests held the same loop with three messages. checkAllAnswered keeps the strictest condition of them (no error, outcome answered) and prints all that any of them printed. The comment on throttleFirst said what the code no longer does.

--- a/booking/throttle.go
+++ b/booking/throttle.go
@@ -15,8 +15,8 @@
 	// throttleFloor after all those of one window.
 	throttleCut   = 0.92
 	throttleFloor = 0.5
-	// throttleFirst is the growth after the first window without too many
-	// failures; it doubles with each further one up to throttleLimit.
+	// throttleFirst is the growth after the first window without failures;
+	// it doubles with each further one up to throttleLimit.
 	throttleFirst = 0.02
 	throttleLimit = 0.5
 	// throttleMin keeps some calls going, so that recovery is noticed.
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -224,6 +224,16 @@
 	}
 }
 
+// checkAllAnswered expects a whole answer to every call.
+func checkAllAnswered(t *testing.T, results []result) {
+	t.Helper()
+	for _, r := range results {
+		if r.err != nil || r.outcome != "answered" {
+			t.Errorf("%s: got %q (%s) error %v after %s, want answered", r.id, r.outcome, r.reason, r.err, r.elapsed)
+		}
+	}
+}
+
 // eventually polls until done holds.
 func eventually(t *testing.T, what string, within time.Duration, done func() bool) {
 	t.Helper()
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -83,11 +83,7 @@
 	wg.Wait()
 	results := out.all()
 	checkTruth(t, f, "certificate", results)
-	for _, r := range results {
-		if r.err != nil || r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s) error %v, want answered", r.id, r.outcome, r.reason, r.err)
-		}
-	}
+	checkAllAnswered(t, results)
 }
 
 // TestSameTicketManyNodes presents each ticket through all nodes at the same
@@ -167,11 +163,7 @@
 		}
 	}).all()
 	checkTruth(t, f, "certificate", results)
-	for _, r := range results {
-		if r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s) after %s, want answered", r.id, r.outcome, r.reason, r.elapsed)
-		}
-	}
+	checkAllAnswered(t, results)
 }
 
 // TestBrokenConnections closes every connection between nodes again and again.
@@ -186,11 +178,7 @@
 		}
 	}).all()
 	checkTruth(t, f, "certificate", results)
-	for _, r := range results {
-		if r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s) after %s, want answered", r.id, r.outcome, r.reason, r.elapsed)
-		}
-	}
+	checkAllAnswered(t, results)
 }
 
 // TestPause stops the owner's node, the entry's node and the upstream in turn
@@ -252,9 +240,5 @@
 		time.Sleep(700 * time.Millisecond)
 		owner.Node.Kill()
 	}).all()
-	for _, r := range results {
-		if r.err != nil || r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s) error %v, want answered", r.id, r.outcome, r.reason, r.err)
-		}
-	}
+	checkAllAnswered(t, results)
 }
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -35,11 +35,7 @@
 		v := f.VMs[i%len(f.VMs)]
 		results = append(results, call(v.CallerAddress, "seal", "seal-"+strconv.Itoa(i)))
 	}
-	for _, r := range results {
-		if r.err != nil || r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s) error %v, want answered", r.id, r.outcome, r.reason, r.err)
-		}
-	}
+	checkAllAnswered(t, results)
 	for _, kind := range []string{"seal", "lot", "certificate"} {
 		checkTruth(t, f, kind, results)
 		if got, want := len(f.Runs(kind)), len(results); got != want {
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -26,11 +26,7 @@
 		}
 	}).all()
 	checkTruth(t, f, "certificate", results)
-	for _, r := range results {
-		if r.err != nil || r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s) error %v, want answered", r.id, r.outcome, r.reason, r.err)
-		}
-	}
+	checkAllAnswered(t, results)
 }
 
 // TestPlannedStopOfEntry asks an entry's node to stop while callers wait: the
@@ -80,9 +76,5 @@
 		t.Errorf("runs on the leaving VM: got %d, want the %d of before", got, want)
 	}
 	checkTruth(t, f, "certificate", results)
-	for _, r := range results {
-		if r.outcome != "answered" {
-			t.Errorf("%s: got %q (%s), want answered", r.id, r.outcome, r.reason)
-		}
-	}
+	checkAllAnswered(t, results)
 }
