--- a/booking/call.go
+++ b/booking/call.go
@@ -18,6 +18,9 @@
 	kind     string
 	caller   string
 	deadline clock.Millis
+	// patience is the longest wait that makes sense, or negative for no bound
+	// but the deadline, in milliseconds.
+	patience clock.Millis
 	// latest is the last time at which a queued call may start.
 	latest clock.Millis
 	// decided receives exactly one verdict if the call was queued.
@@ -29,9 +32,13 @@
 
 // NewCall returns a call whose answer is of use until deadline.
 func NewCall(class Class, kind, caller string, deadline clock.Millis) *Call {
-	return &Call{class: class, kind: kind, caller: caller, deadline: deadline}
+	return &Call{class: class, kind: kind, caller: caller, deadline: deadline, patience: -1}
 }
 
+// SetPatience bounds the expected wait with which the call is still queued, in
+// milliseconds. Without it, only the deadline bounds the wait.
+func (c *Call) SetPatience(patience clock.Millis) { c.patience = max(patience, 0) }
+
 // Class returns the class of the call.
 func (c *Call) Class() Class { return c.class }
 
--- a/booking/desk.go
+++ b/booking/desk.go
@@ -60,6 +60,8 @@
 	case VerdictExpired, VerdictShed:
 		c.state = callEnded
 		d.load.refuse(c.class)
+	case VerdictBusy:
+		c.state = callEnded
 	case VerdictStart, VerdictQueued:
 	}
 	return v
@@ -77,6 +79,9 @@
 	if d.hopeless(now, c) {
 		return VerdictShed
 	}
+	if c.patience >= 0 && d.wait(c.class, c.kind, d.load.shareBefore(c.class)) > float64(c.patience) {
+		return VerdictBusy
+	}
 	if d.waiting >= d.maxWaiting && !d.makeRoom(c) {
 		return VerdictShed
 	}
@@ -107,16 +112,61 @@
 	if share >= fullShare {
 		return true
 	}
-	ahead := d.queues[c.class].ahead(c.kind)
-	for i := range c.class {
-		ahead += d.queues[i].size
-	}
-	rate := float64(d.limiter.current()) * (1 - share)
-	wait := float64(ahead+1) * d.load.all.mean / rate
+	wait := d.wait(c.class, c.kind, share)
 	left := float64(c.deadline-now) - d.load.likely(c.kind)
 	return wait > left*(waitShareAlone-share*(waitShareAlone-waitShare))
 }
 
+// wait estimates how long a new call waits when lower classes take a share of
+// the starts, in milliseconds.
+func (d *Desk) wait(class Class, kind string, share float64) float64 {
+	ahead := d.queues[class].ahead(kind)
+	for i := range class {
+		ahead += d.queues[i].size
+	}
+	rate := float64(d.limiter.current()) * (1 - min(share, fullShare))
+	return float64(ahead+1) * d.load.all.mean / rate
+}
+
+// Outlook is what a new call would find at a desk.
+type Outlook struct {
+	// Wait is the expected wait for a slot, and Run the mean duration of a run
+	// of the kind, 0 when unknown; both in milliseconds.
+	Wait, Run float64
+	// Load is the share of the slots in use, from 0 to 1.
+	Load float64
+}
+
+// Outlook returns what a new call of a class and kind would find.
+func (d *Desk) Outlook(now clock.Millis, class Class, kind string) Outlook {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.load.roll(now)
+	limit := d.limiter.current()
+	out := Outlook{Load: min(1, float64(d.running)/float64(limit))}
+	if k := d.load.kinds[kind]; k != nil {
+		out.Run = k.mean
+	}
+	if d.running >= limit {
+		out.Wait = d.wait(class, kind, d.load.shareBefore(class))
+	}
+	return out
+}
+
+// Resize sets the slots of the upstream, at least one. Waiting calls get slots
+// that became free.
+func (d *Desk) Resize(now clock.Millis, slots int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slots = max(slots, 1)
+	if slots == d.limiter.slots {
+		return
+	}
+	d.maxWaiting = d.maxWaiting * slots / d.limiter.slots
+	d.limiter = newLimiter(d.limiter.policy, slots)
+	d.startWaiting(now)
+}
+
 // makeRoom evicts a call of the highest class that waits, unless that class
 // comes before c's.
 func (d *Desk) makeRoom(c *Call) bool {
--- a/booking/verdict.go
+++ b/booking/verdict.go
@@ -14,6 +14,9 @@
 	VerdictExpired
 	// VerdictShed refuses a call in favour of others.
 	VerdictShed
+	// VerdictBusy refuses a call that would wait longer than its patience; it
+	// may be given to another desk.
+	VerdictBusy
 )
 
 // String returns the name used in refusals and metrics.
@@ -27,6 +30,8 @@
 		return "expired"
 	case VerdictShed:
 		return "overload"
+	case VerdictBusy:
+		return "busy"
 	default:
 		return "unknown"
 	}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -5,11 +5,15 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
+	"cuminhollow.example/booking"
 	"cuminhollow.example/claim"
 	"cuminhollow.example/clock"
 	"cuminhollow.example/dispatch"
+	"cuminhollow.example/ledger"
 	"cuminhollow.example/portage"
 )
 
@@ -21,6 +25,15 @@
 	// maxClosed is the number of connections that may end just before a call
 	// is written to them.
 	maxClosed = 3
+	// maxMoves is the number of owners that may refuse a call before their
+	// upstream is reached, without that being a try.
+	maxMoves = 4
+	// patienceMin is the shortest queueing that is better than another way, in
+	// milliseconds.
+	patienceMin = 10
+	// maxSpare is the longest advance over the next best VM that bounds the
+	// queueing, in milliseconds.
+	maxSpare = 10_000
 )
 
 // order is a call on its way to an owner.
@@ -32,6 +45,10 @@
 	idempotent bool
 	// avoid names the VMs that were tried.
 	avoid []string
+	// moves counts the refusals by owners whose upstream was not reached.
+	moves int
+	// busy names the VMs that would have queued the call for too long.
+	busy []string
 	// ticket is that of the last attempt; zero for idempotent work.
 	ticket claim.Ticket
 	// tries counts the attempts; maxTries is that of the kind's record.
@@ -50,56 +67,102 @@
 	perHop bool
 	// early makes the node heed the admission levels of owners.
 	early bool
+	// grace is how long after its deadline the answer of a call is still
+	// awaited, in milliseconds.
+	grace clock.Millis
+	// retries are the options of the buckets, which hold a *ledger.Bucket for
+	// each service.
+	retries []ledger.BucketOption
+	buckets sync.Map
 }
 
+// next says how an order goes on after an attempt.
+type next uint8
+
+const (
+	// nextNone gives the answer to the caller.
+	nextNone next = iota
+	// nextMove sends the call to another owner; no upstream was reached, so that
+	// this is no try.
+	nextMove
+	// nextRetry sends the call to another owner if a try is left.
+	nextRetry
+)
+
 // send carries out an order. It tries another owner only while that cannot run
 // non-idempotent work twice and the account of the run pays for it.
 func (s *sender) send(o *order) *portage.Answer {
 	for {
-		a, retry := s.try(o)
-		if !retry || !s.mayRetry(o) {
+		a, n := s.try(o)
+		if !s.goOn(o, n) {
 			return a
 		}
 	}
 }
 
-// mayRetry pays for one more try.
-func (s *sender) mayRetry(o *order) bool {
-	if o.run.ctx.Err() != nil || s.clock.Now() >= o.run.deadline {
+// goOn reports whether the order gets another attempt, and pays for it.
+func (s *sender) goOn(o *order, n next) bool {
+	if n == nextNone || o.run.ctx.Err() != nil || s.clock.Now() >= o.run.deadline {
 		return false
 	}
+	if n == nextMove && o.moves < maxMoves {
+		o.moves++
+		return true
+	}
 	if s.perHop {
 		o.avoid = nil
 		return o.tries < o.maxTries
 	}
-	last := o.avoid[len(o.avoid)-1]
-	if !s.router.Target(last).Retries().Retry() {
-		return false
+	return s.bucket(o.service).Retry() && o.run.account.Spend()
+}
+
+// bucket returns what pays for retries at a service.
+func (s *sender) bucket(service string) *ledger.Bucket {
+	if b, ok := s.buckets.Load(service); ok {
+		return b.(*ledger.Bucket)
 	}
-	return o.run.account.Spend()
+	b, _ := s.buckets.LoadOrStore(service, ledger.NewBucket(s.retries...))
+	return b.(*ledger.Bucket)
 }
 
-// try makes one attempt and reports whether another owner may be tried.
-func (s *sender) try(o *order) (*portage.Answer, bool) {
+// try makes one attempt.
+func (s *sender) try(o *order) (*portage.Answer, next) {
 	now := s.clock.Now()
 	if now >= o.run.deadline {
-		return notRun(reasonExpired, 0), false
+		return notRun(reasonExpired, 0), nextNone
 	}
 	pick, err := s.router.Pick(now, dispatch.Request{
 		Service: o.service,
 		Class:   o.run.class,
+		Kind:    o.call.Kind,
 		Avoid:   o.avoid,
 	})
 	if err != nil {
-		return notRun(pickReason(err), 0), false
+		return notRun(pickReason(err), 0), nextNone
 	}
 	name := pick.VM.Name()
-	o.avoid = append(o.avoid, name)
-	o.tries++
-	if o.tries == 1 {
-		pick.Target.Retries().Fresh()
+	o.call.VM = name
+	o.call.PatienceMS = s.patience(o, pick)
+	if o.tries++; o.tries == 1 {
+		s.bucket(o.service).Fresh()
+	}
+	a, n := s.sendTo(o, pick)
+	if a.Reason == reasonBusy {
+		o.busy = append(o.busy, name)
+	} else {
+		o.avoid = append(o.avoid, name)
 	}
-	return s.sendTo(o, pick)
+	return a, n
+}
+
+// patience returns how long the owner may queue the call, in milliseconds: no
+// longer than the way to the next best VM costs, unless the call has been
+// there or cannot move any more.
+func (s *sender) patience(o *order, pick dispatch.Pick) int64 {
+	if o.moves >= maxMoves || pick.Spare > maxSpare || slices.Contains(o.busy, pick.VM.Name()) {
+		return -1
+	}
+	return int64(pick.Spare) + patienceMin
 }
 
 func pickReason(err error) string {
@@ -110,9 +173,9 @@
 	return reasonNoVM
 }
 
-func (s *sender) sendTo(o *order, pick dispatch.Pick) (*portage.Answer, bool) {
+func (s *sender) sendTo(o *order, pick dispatch.Pick) (*portage.Answer, next) {
 	p := s.peers.get(pick.VM.Name(), pick.VM.Address())
-	ctx, cancel := withDeadline(o.run.ctx, s.clock, o.run.deadline)
+	ctx, cancel := withDeadline(o.run.ctx, s.clock, o.run.deadline+s.grace)
 	defer cancel()
 	pick.Target.Begin()
 	began := time.Now()
@@ -124,32 +187,49 @@
 		if s.early {
 			pick.Target.SetLevel(now, levelOf(a))
 		}
+		pick.Target.SetOutlook(now, o.call.Kind, booking.Outlook{
+			Wait: float64(a.WaitMS),
+			Run:  float64(a.RunMS),
+			Load: float64(a.Load) / loadScale,
+		})
 		return s.judge(o, pick, a)
 	case ctx.Err() != nil && o.run.ctx.Err() != nil:
 		pick.Target.Abandon()
 	default:
 		pick.Target.Fail(now)
 	}
-	if !sent {
-		return notRun(reasonUnreachable, 0), true
+	switch {
+	case !sent:
+		return notRun(reasonUnreachable, 0), nextMove
+	case o.idempotent && ctx.Err() == nil:
+		return unknown(reasonLost), nextRetry
+	default:
+		return unknown(reasonLost), nextNone
 	}
-	return unknown(reasonLost), o.idempotent && ctx.Err() == nil
 }
 
 // judge reads an answer of the owner: a call that did not run may go to
 // another owner.
-func (s *sender) judge(o *order, pick dispatch.Pick, a *portage.Answer) (*portage.Answer, bool) {
+func (s *sender) judge(o *order, pick dispatch.Pick, a *portage.Answer) (*portage.Answer, next) {
 	if a.Outcome == portage.OutcomeNotRun && a.Reason == reasonLeaving {
 		pick.Target.SetLeaving(s.clock.Now())
 	}
+	again := false
 	switch a.Outcome {
 	case portage.OutcomeNotRun:
-		return a, a.Reason != reasonExpired && a.Reason != reasonBadTicket
+		if a.Reason == reasonBusy || a.Reason == reasonLeaving {
+			return a, nextMove
+		}
+		again = a.Reason != reasonExpired && a.Reason != reasonBadTicket
 	case portage.OutcomeUnknown:
-		return a, o.idempotent
+		again = o.idempotent
 	default:
-		return a, s.perHop && o.idempotent && a.Status >= http.StatusInternalServerError
+		again = s.perHop && o.idempotent && a.Status >= http.StatusInternalServerError
+	}
+	if again {
+		return a, nextRetry
 	}
+	return a, nextNone
 }
 
 func millisSince(began time.Time) float64 {
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -221,7 +221,7 @@
 			Caller:  r.caller,
 			Method:  q.Method,
 			Path:    q.URL.RequestURI(),
-			Header:  passedFields(q.Header),
+			Header:  PassedFields(q.Header),
 			Body:    body,
 			Sum:     portage.Checksum(body),
 		},
--- a/depot/header.go
+++ b/depot/header.go
@@ -45,8 +45,8 @@
 	"Content-Length",
 }
 
-// passedFields returns the header fields that go on with a call or an answer.
-func passedFields(h http.Header) []portage.Field {
+// PassedFields returns the header fields that go on with a call or an answer.
+func PassedFields(h http.Header) []portage.Field {
 	named := connectionFields(h)
 	fields := make([]portage.Field, 0, len(h))
 	for name, values := range h {
--- a/depot/listen.go
+++ b/depot/listen.go
@@ -7,7 +7,7 @@
 
 // listeners are the open ports of a node.
 type listeners struct {
-	callers, upstream, peers, operators net.Listener
+	callers, upstream, peers, operators, ready net.Listener
 }
 
 // listen opens all ports or none.
@@ -22,7 +22,11 @@
 		{s.Upstream, &l.upstream},
 		{s.Peers, &l.peers},
 		{s.Operators, &l.operators},
+		{s.Ready, &l.ready},
 	} {
+		if port.address == "" {
+			continue
+		}
 		opened, err := new(net.ListenConfig).Listen(ctx, "tcp", port.address)
 		if err != nil {
 			l.close()
@@ -34,7 +38,7 @@
 }
 
 func (l *listeners) close() {
-	for _, o := range []net.Listener{l.callers, l.upstream, l.peers, l.operators} {
+	for _, o := range []net.Listener{l.callers, l.upstream, l.peers, l.operators, l.ready} {
 		if o != nil {
 			_ = o.Close()
 		}
--- a/depot/node.go
+++ b/depot/node.go
@@ -31,8 +31,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// stopTimeout bounds a planned stop: longer than the longest target time.
-	stopTimeout = 11 * time.Minute
 	// stopPoll is how often a planned stop looks whether work is done.
 	stopPoll = 5 * time.Millisecond
 	// quietSpan is how long a leaving node must be without work before it
@@ -54,6 +52,15 @@
 	spread   *spread
 	server   *portage.Server
 	ready    atomic.Bool
+	// routes is the configuration in force; nil before the first one, and
+	// without a Source.
+	routes atomic.Pointer[record.Configuration]
+	// listed is set once the VM's own upstream was in a list.
+	listed atomic.Bool
+	source Source
+	front  func(Carrier) http.Handler
+	// upstream runs calls on the VM's own upstream.
+	upstream Upstream
 	linkOpts []portage.Option
 	traffic  portage.Traffic
 	// bodyTimeout bounds the reading of a whole request.
@@ -75,6 +82,24 @@
 	return func(n *Node) { n.bodyTimeout = d }
 }
 
+// WithSource makes the node follow a source of routes and VMs; the default is
+// to read records and rosters from the platform and from peers.
+func WithSource(s Source) Option {
+	return func(n *Node) { n.source = s }
+}
+
+// WithFront sets what takes the calls of callers and of the VM's own upstream;
+// the default is the product's own HTTP interface.
+func WithFront(front func(Carrier) http.Handler) Option {
+	return func(n *Node) { n.front = front }
+}
+
+// WithUpstream sets what runs calls on the VM's own upstream; the default
+// speaks the product's own HTTP interface.
+func WithUpstream(u Upstream) Option {
+	return func(n *Node) { n.upstream = u }
+}
+
 // New builds a node. It opens no sockets yet.
 func New(s *Settings, opts ...Option) (*Node, error) {
 	n := &Node{
@@ -92,6 +117,9 @@
 		return nil, &Error{Op: "set up metrics", Kind: KindSettings, Err: err}
 	}
 	n.metrics = m
+	if n.upstream == nil {
+		n.upstream = newUpstream(s.upstream)
+	}
 	n.linkOpts = append(n.linkOpts, portage.WithTraffic(&n.traffic))
 	if err := n.secure(); err != nil {
 		return nil, err
@@ -121,7 +149,7 @@
 		clock:    n.clock,
 		table:    claim.NewTable(s.vm, n.incarnation, n.clock, answerSize),
 		desk:     booking.NewDesk(s.upstream.Slots, s.policy.desk()...),
-		upstream: newUpstream(s.upstream),
+		upstream: n.upstream,
 		runs:     runs,
 		throttle: throttle,
 		early:    s.policy.early(),
@@ -137,6 +165,8 @@
 			metrics: n.metrics,
 			perHop:  s.policy.perHop(),
 			early:   s.policy.early(),
+			grace:   s.stop.Grace,
+			retries: s.retries.bucket(),
 		},
 		runs:     runs,
 		metrics:  n.metrics,
@@ -176,27 +206,49 @@
 	g, gctx := errgroup.WithContext(work)
 	g.Go(func() error { return n.server.Serve(listeners.peers) })
 	operators := n.serveHTTP(g, listeners.operators, n.operators())
-	n.spread.bootstrap(ctx)
-	mux := http.NewServeMux()
-	mux.HandleFunc(TicketPath, n.entry.tickets)
-	mux.Handle("/", n.entry.callers())
-	callers := n.serveHTTP(g, listeners.callers, mux)
-	onward := n.serveHTTP(g, listeners.upstream, n.entry.onward())
-	g.Go(func() error { return n.spread.run(gctx) })
-	n.ready.Store(true)
-	n.log.Info().Str("event", "ready").Str("vm", n.settings.vm).Send()
+	defer func() { _ = operators.Close() }()
+	var callers []*http.Server
+	if n.source != nil {
+		callers = n.serveSource(g, gctx, listeners)
+	} else {
+		callers = n.serveRecords(g, ctx, gctx, listeners)
+	}
 	select {
 	case <-ctx.Done():
 	case <-gctx.Done():
 	}
-	n.stop(listeners.peers, callers, onward)
-	_ = operators.Close()
+	n.stop(listeners.peers, callers)
 	stopWork(errShutdown)
 	err = g.Wait()
 	n.log.Info().Str("event", "stopped").Str("vm", n.settings.vm).Send()
 	return err
 }
 
+// serveRecords serves the product's own HTTP interface by the records and
+// rosters that nodes exchange.
+func (n *Node) serveRecords(g *errgroup.Group, start, ctx context.Context, l *listeners) []*http.Server {
+	n.spread.bootstrap(start)
+	mux := http.NewServeMux()
+	mux.HandleFunc(TicketPath, n.entry.tickets)
+	mux.Handle("/", n.entry.callers())
+	callers := n.serveHTTP(g, l.callers, mux)
+	onward := n.serveHTTP(g, l.upstream, n.entry.onward())
+	g.Go(func() error { return n.spread.run(ctx) })
+	n.ready.Store(true)
+	n.log.Info().Str("event", "ready").Str("vm", n.settings.vm).Send()
+	return []*http.Server{callers, onward}
+}
+
+// serveSource serves an adapter's interface by what its source tells.
+func (n *Node) serveSource(g *errgroup.Group, ctx context.Context, l *listeners) []*http.Server {
+	g.Go(func() error { return n.source.Follow(ctx, n) })
+	servers := []*http.Server{n.serveHTTP(g, l.callers, n.front(n))}
+	if l.ready != nil {
+		servers = append(servers, n.serveHTTP(g, l.ready, http.HandlerFunc(n.readiness)))
+	}
+	return servers
+}
+
 // Drain makes the node leave: it tells its peers and refuses new work, but
 // keeps running.
 func (n *Node) Drain() {
@@ -217,15 +269,17 @@
 }
 
 // stop leaves, waits for the work in flight and closes the ports.
-func (n *Node) stop(peers net.Listener, callers, onward *http.Server) {
-	n.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+func (n *Node) stop(peers net.Listener, callers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.stop.timeout())
 	defer cancel()
+	n.Drain()
+	clock.Sleep(ctx, n.settings.stop.Linger.Duration())
 	n.settle(ctx)
-	_ = callers.Shutdown(ctx)
+	for _, s := range callers {
+		_ = s.Shutdown(ctx)
+	}
 	_ = peers.Close()
 	_ = n.server.Shutdown(ctx)
-	_ = onward.Shutdown(ctx)
 	n.peers.close()
 }
 
--- a/depot/node_test.go
+++ b/depot/node_test.go
@@ -171,9 +171,9 @@
 // TestNoUpstream has no upstream that listens: the work did not run.
 func TestNoUpstream(t *testing.T) {
 	u := newUpstream(upstreamSettings{Address: "127.0.0.1:1", Slots: 1, Connections: 1})
-	got := u.do(t.Context(), &portage.Call{Method: http.MethodPost, Path: "/"}, "id", 1000)
-	if got.outcome != portage.OutcomeNotRun {
-		t.Errorf("got %s, want %s", got.outcome, portage.OutcomeNotRun)
+	got := u.Run(t.Context(), &portage.Call{Method: http.MethodPost, Path: "/"}, "id", 1000)
+	if got.Outcome != portage.OutcomeNotRun {
+		t.Errorf("got %s, want %s", got.Outcome, portage.OutcomeNotRun)
 	}
 }
 
--- a/depot/operators.go
+++ b/depot/operators.go
@@ -100,7 +100,7 @@
 }
 
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
-	if !n.ready.Load() || n.owner.leaving.Load() {
+	if !n.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -19,6 +19,8 @@
 	outcomeGrace = 10 * clock.Second
 	// answerOverhead is the memory of a kept answer besides its body, in bytes.
 	answerOverhead = 512
+	// loadScale is the unit of a load in an answer.
+	loadScale = 1000
 )
 
 // owner admits the calls of peers and runs them on the upstream.
@@ -26,13 +28,15 @@
 	clock    clock.Clock
 	table    *claim.Table[*portage.Answer]
 	desk     *booking.Desk
-	upstream *upstream
+	upstream Upstream
 	runs     *runTable
 	throttle *booking.Throttle
 	metrics  *metrics
 	// early makes the owner refuse calls whose onward calls would fail.
 	early   bool
 	leaving atomic.Bool
+	// closed is set while the upstream takes no new work.
+	closed atomic.Bool
 	// inWork counts the calls that are queued or running.
 	inWork atomic.Int64
 }
@@ -59,7 +63,11 @@
 func (o *owner) reply(c *portage.Call, a *portage.Answer) *portage.Answer {
 	out := *a
 	out.Request = c.Request
-	out.Level = uint8(o.desk.Level(o.clock.Now()))
+	now := o.clock.Now()
+	out.Level = uint8(o.desk.Level(now))
+	view := o.desk.Outlook(now, booking.Class(min(c.Class, booking.Classes-1)), c.Kind)
+	out.WaitMS, out.RunMS = int64(view.Wait), int64(view.Run)
+	out.Load = int(view.Load * loadScale)
 	return &out
 }
 
@@ -136,13 +144,16 @@
 func (o *owner) admit(ctx context.Context, c *portage.Call, deadline clock.Millis) *portage.Answer {
 	o.inWork.Add(1)
 	defer o.inWork.Add(-1)
-	if o.leaving.Load() {
+	if o.leaving.Load() || o.closed.Load() {
 		return notRun(reasonLeaving, c.Grant)
 	}
 	if o.early && !o.throttle.Admit(o.clock.Now(), c.Group) {
 		return notRun(reasonOverload, c.Grant)
 	}
 	b := booking.NewCall(booking.Class(c.Class), c.Group, c.Caller, deadline)
+	if c.PatienceMS >= 0 {
+		b.SetPatience(clock.Millis(c.PatienceMS))
+	}
 	v := o.desk.Admit(o.clock.Now(), b)
 	if v == booking.VerdictQueued {
 		v = o.queued(ctx, b)
@@ -153,6 +164,8 @@
 		return o.start(ctx, c, b, deadline)
 	case booking.VerdictExpired:
 		return notRun(reasonExpired, c.Grant)
+	case booking.VerdictBusy:
+		return notRun(reasonBusy, c.Grant)
 	case booking.VerdictShed, booking.VerdictQueued:
 	}
 	return notRun(reasonOverload, c.Grant)
@@ -200,28 +213,29 @@
 		deadline: deadline,
 		account:  account,
 	})
-	res := o.upstream.do(ctx, c, id, deadline-now)
+	res := o.upstream.Run(ctx, c, id, deadline-now)
 	o.runs.remove(id)
 	ended := o.clock.Now()
 	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
-	o.metrics.run(res.outcome, ended-now)
+	o.metrics.run(res.Outcome, ended-now)
 	return &portage.Answer{
-		Outcome: res.outcome,
-		Reason:  res.reason,
-		Status:  res.status,
-		Header:  res.header,
-		Body:    res.body,
-		Sum:     portage.Checksum(res.body),
+		Outcome: res.Outcome,
+		Reason:  res.Reason,
+		Reached: res.Reached,
+		Status:  res.Status,
+		Header:  res.Header,
+		Body:    res.Body,
+		Sum:     portage.Checksum(res.Body),
 		Unspent: account.Close(),
 	}
 }
 
 // resultOf classifies the end of a run for the concurrency limit.
-func resultOf(ctx context.Context, res runResult, late bool) booking.Result {
+func resultOf(ctx context.Context, res RunResult, late bool) booking.Result {
 	switch {
-	case res.outcome == portage.OutcomeAnswered && !late:
+	case res.Outcome == portage.OutcomeAnswered && !late:
 		return booking.ResultOK
-	case res.reason == reasonOverload || late:
+	case res.Reason == reasonOverload || late:
 		return booking.ResultOverload
 	case errors.Is(ctx.Err(), context.Canceled):
 		return booking.ResultCancelled
--- a/depot/peers.go
+++ b/depot/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"cuminhollow.example/claim"
@@ -10,6 +11,9 @@
 	"cuminhollow.example/portage"
 )
 
+// maxIssuers bounds the sessions of one VM that are remembered.
+const maxIssuers = 8
+
 // peer is the node's connection to another node, or to itself.
 type peer struct {
 	vm     string
@@ -35,6 +39,11 @@
 
 	mu   sync.RWMutex
 	byVM map[string]*peer
+	// issuers has one for each session that a process gave this node, by the
+	// name that the process gives itself, the newest last: a process may be
+	// reached under the names of two VMs, when one has taken the other's
+	// address, and must not get a ticket twice.
+	issuers map[string][]*claim.Issuer
 }
 
 func newPeers(c clock.Clock, hello portage.Hello, router *dispatch.Router, opts []portage.Option) *peers {
@@ -44,6 +53,7 @@
 		router:  router,
 		options: opts,
 		byVM:    make(map[string]*peer),
+		issuers: make(map[string][]*claim.Issuer),
 	}
 }
 
@@ -80,22 +90,44 @@
 func (ps *peers) newLink(p *peer, address string) *portage.Link {
 	opts := append([]portage.Option{
 		portage.WithOnWelcome(func(w portage.Welcome) { ps.welcome(p, w) }),
-		portage.WithOnNotice(func(n portage.Notice) { ps.notice(n) }),
+		portage.WithOnNotice(func(n portage.Notice) {
+			if _, ok := n.(*portage.Leaving); ok {
+				p.target.SetLeaving(ps.clock.Now())
+			}
+		}),
 	}, ps.options...)
 	return portage.NewLink(address, ps.hello, opts...)
 }
 
+// issuer returns the only issuer of a session. The older ones are kept for a
+// Welcome that arrives late.
+func (ps *peers) issuer(w portage.Welcome) *claim.Issuer {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	known := ps.issuers[w.VM]
+	for _, i := range known {
+		if i.Matches(w.Incarnation, w.Session) {
+			return i
+		}
+	}
+	i := claim.NewIssuer(w.VM, w.Incarnation, w.Session)
+	if len(known) >= maxIssuers {
+		known = slices.Delete(known, 0, 1)
+	}
+	ps.issuers[w.VM] = append(known, i)
+	return i
+}
+
 // welcome takes what a peer said of itself on a new connection.
 func (ps *peers) welcome(p *peer, w portage.Welcome) {
+	var issuer *claim.Issuer
+	if w.Session != 0 {
+		issuer = ps.issuer(w)
+	}
 	p.mu.Lock()
 	changed := w.Incarnation != p.incarnation
 	p.incarnation = w.Incarnation
-	switch {
-	case w.Session == 0:
-		p.issuer = nil
-	case p.issuer == nil || !p.issuer.Matches(w.Incarnation, w.Session):
-		p.issuer = claim.NewIssuer(p.vm, w.Incarnation, w.Session)
-	}
+	p.issuer = issuer
 	p.mu.Unlock()
 	switch {
 	case w.Leaving:
@@ -106,7 +138,7 @@
 }
 
 func (ps *peers) notice(n portage.Notice) {
-	if l, ok := n.(*portage.Leaving); ok {
+	if l, ok := n.(*portage.Leaving); ok && ps.router.Known(l.VM) {
 		ps.router.Target(l.VM).SetLeaving(ps.clock.Now())
 	}
 }
--- a/depot/problem.go
+++ b/depot/problem.go
@@ -18,6 +18,7 @@
 	reasonBadTime     = "bad-time-left"
 	reasonNoRun       = "unknown-run"
 	reasonOverload    = "overload"
+	reasonBusy        = "busy"
 	reasonExpired     = "expired"
 	reasonLeaving     = "leaving"
 	reasonUnreachable = "unreachable"
--- a/depot/secure.go
+++ b/depot/secure.go
@@ -22,7 +22,7 @@
 func (n *Node) secure() error {
 	t := n.settings.transport
 	if t.Plain {
-		n.log.Warn().Str("event", "plain-transport").
+		n.log.Warn().Str("event", "plain-transport").Uint64("incarnation", n.incarnation).
 			Str("detail", "connections between nodes are neither encrypted nor authenticated").Send()
 		return nil
 	}
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -9,8 +9,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
+	"cuminhollow.example/clock"
 	"cuminhollow.example/dispatch"
+	"cuminhollow.example/ledger"
 	"cuminhollow.example/record"
 	"go.yaml.in/yaml/v3"
 )
@@ -28,6 +31,59 @@
 	transport transportSettings
 	policy    policySettings
 	routes    []Route
+	adapter   AdapterSettings
+	retries   retrySettings
+	stop      stopSettings
+}
+
+// AdapterSettings tell a program which adapter connects the node, and what the
+// adapter needs to know. The zero value is the product's own interface.
+type AdapterSettings struct {
+	// Name is empty for none.
+	Name string `yaml:"name"`
+	// Regions maps each availability zone to its region.
+	Regions map[string]string `yaml:"regions"`
+	// PeerPort is the port on which the nodes of all VMs listen for peers.
+	PeerPort int `yaml:"peer_port"`
+}
+
+// retrySettings bound the retries to a service, beside each request's tries.
+type retrySettings struct {
+	// Share is the retries that each first try earns; 0 for the default.
+	Share float64 `yaml:"share"`
+	// Burst is the most retries at once; 0 for the default.
+	Burst float64 `yaml:"burst"`
+}
+
+func (r retrySettings) bucket() []ledger.BucketOption {
+	var opts []ledger.BucketOption
+	if r.Share > 0 {
+		opts = append(opts, ledger.WithShare(r.Share))
+	}
+	if r.Burst > 0 {
+		opts = append(opts, ledger.WithBurst(r.Burst))
+	}
+	return opts
+}
+
+// stopSettings say how a planned stop goes. Times are in milliseconds.
+type stopSettings struct {
+	// Linger is how long calls are taken after the stop began.
+	Linger clock.Millis `yaml:"linger_ms"`
+	// Limit bounds the whole stop; 0 for the default of 11 minutes, which is
+	// longer than the longest target time.
+	Limit clock.Millis `yaml:"limit_ms"`
+	// Grace is how long after its deadline an answer is still awaited.
+	Grace clock.Millis `yaml:"grace_ms"`
+}
+
+const defaultStop = 11 * clock.Minute
+
+func (s stopSettings) timeout() time.Duration {
+	if s.Limit <= 0 {
+		return defaultStop.Duration()
+	}
+	return s.Limit.Duration()
 }
 
 // Route maps a method and a path prefix to a kind of work.
@@ -42,6 +98,8 @@
 	Upstream  string `yaml:"upstream"`
 	Peers     string `yaml:"peers"`
 	Operators string `yaml:"operators"`
+	// Ready answers whether the node is ready; empty for no port of its own.
+	Ready string `yaml:"ready"`
 }
 
 type upstreamSettings struct {
@@ -106,6 +164,9 @@
 	Transport transportSettings `yaml:"transport"`
 	Policy    policySettings    `yaml:"policy"`
 	Routes    []Route           `yaml:"routes"`
+	Adapter   AdapterSettings   `yaml:"adapter"`
+	Retries   retrySettings     `yaml:"retries"`
+	Stop      stopSettings      `yaml:"stop"`
 }
 
 // VM returns the name of the VM.
@@ -117,6 +178,15 @@
 // Place returns the region and the availability zone of the VM.
 func (s *Settings) Place() dispatch.Place { return s.place }
 
+// Adapter returns the settings of the adapter.
+func (s *Settings) Adapter() AdapterSettings { return s.adapter }
+
+// Upstream returns the address of the VM's upstream.
+func (s *Settings) Upstream() string { return s.upstream.Address }
+
+// Platform returns the addresses of the configuration service.
+func (s *Settings) Platform() []string { return s.platform }
+
 // LoadSettings reads and checks the settings file at path.
 func LoadSettings(path string) (*Settings, error) {
 	body, err := os.ReadFile(path)
@@ -158,6 +228,9 @@
 		transport: f.Transport,
 		policy:    f.Policy,
 		routes:    f.Routes,
+		adapter:   f.Adapter,
+		retries:   f.Retries,
+		stop:      f.Stop,
 	}, nil
 }
 
@@ -200,8 +273,10 @@
 	c.required("zone", f.Zone)
 	c.ports(f)
 	c.address("upstream", "address", f.Upstream.Address)
-	c.positive("slots", f.Upstream.Slots)
-	c.positive("connections", f.Upstream.Connections)
+	if f.Adapter.Name == "" {
+		c.positive("slots", f.Upstream.Slots)
+		c.positive("connections", f.Upstream.Connections)
+	}
 	if f.Upstream.Connections < f.Upstream.Slots {
 		c.fail(c.line("upstream", "connections"), "upstream.connections %d is less than upstream.slots %d",
 			f.Upstream.Connections, f.Upstream.Slots)
@@ -262,6 +337,9 @@
 		{"peers", f.Listen.Peers},
 		{"operators", f.Listen.Operators},
 	} {
+		if l.key == "upstream" && l.value == "" && f.Adapter.Name != "" {
+			continue
+		}
 		c.address("listen", l.key, l.value)
 		if other := seen[l.value]; other != "" && l.value != "" {
 			c.fail(c.line("listen", l.key), "listen.%s uses the same address as listen.%s", l.key, other)
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -19,21 +19,33 @@
 // upstreamDial bounds the opening of a connection to the upstream.
 const upstreamDial = 500 * time.Millisecond
 
-// upstream runs calls on the VM's own upstream.
+// Upstream runs calls on the VM's own upstream. It is safe for concurrent use.
+type Upstream interface {
+	// Run carries out a call that has left milliseconds; id names the run. It
+	// ends early when ctx does.
+	Run(ctx context.Context, c *portage.Call, id string, left clock.Millis) RunResult
+}
+
+// RunResult is what became of a call on the upstream.
+type RunResult struct {
+	// Outcome is OutcomeNotRun only if no byte of the call reached the upstream
+	// or if the upstream says so.
+	Outcome portage.Outcome
+	// Reason is set unless the outcome is OutcomeAnswered.
+	Reason string
+	// Reached tells that a byte of the call may have reached the upstream.
+	Reached bool
+	Status  int
+	Header  []portage.Field
+	Body    []byte
+}
+
+// upstream is an Upstream that speaks the product's own HTTP interface.
 type upstream struct {
 	address string
 	client  *http.Client
 }
 
-// runResult is what became of a call on the upstream.
-type runResult struct {
-	outcome portage.Outcome
-	reason  string
-	status  int
-	header  []portage.Field
-	body    []byte
-}
-
 func newUpstream(s upstreamSettings) *upstream {
 	dialer := &net.Dialer{Timeout: upstreamDial}
 	return &upstream{
@@ -53,16 +65,15 @@
 	}
 }
 
-// do runs a call. The result is OutcomeNotRun only if no connection was ever
-// given to the request, or if the upstream says so.
-func (u *upstream) do(ctx context.Context, c *portage.Call, id string, left clock.Millis) runResult {
+// Run implements Upstream.
+func (u *upstream) Run(ctx context.Context, c *portage.Call, id string, left clock.Millis) RunResult {
 	var written atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
 	}
 	q, err := u.request(httptrace.WithClientTrace(ctx, trace), c)
 	if err != nil {
-		return runResult{outcome: portage.OutcomeNotRun, reason: reasonDamaged}
+		return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonDamaged}
 	}
 	q.Header.Set(HeaderRun, id)
 	q.Header.Set(HeaderRequest, c.Request)
@@ -77,28 +88,29 @@
 	return readRun(res)
 }
 
-func failedRun(written bool) runResult {
+func failedRun(written bool) RunResult {
 	if !written {
-		return runResult{outcome: portage.OutcomeNotRun, reason: reasonUnreachable}
+		return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonUnreachable}
 	}
-	return runResult{outcome: portage.OutcomeUnknown, reason: reasonLost}
+	return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonLost}
 }
 
-func readRun(res *http.Response) runResult {
+func readRun(res *http.Response) RunResult {
 	body, err := io.ReadAll(io.LimitReader(res.Body, portage.MaxBody+1))
 	switch {
 	case err != nil, !framed(res):
-		return runResult{outcome: portage.OutcomeUnknown, reason: reasonLost}
+		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonLost}
 	case len(body) > portage.MaxBody:
-		return runResult{outcome: portage.OutcomeUnknown, reason: reasonTooLarge}
+		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonTooLarge}
 	case res.Header.Get(HeaderOutcome) == portage.OutcomeNotRun.String():
-		return runResult{outcome: portage.OutcomeNotRun, reason: reasonOverload}
+		return RunResult{Outcome: portage.OutcomeNotRun, Reached: true, Reason: reasonOverload}
 	}
-	return runResult{
-		outcome: portage.OutcomeAnswered,
-		status:  res.StatusCode,
-		header:  passedFields(res.Header),
-		body:    body,
+	return RunResult{
+		Outcome: portage.OutcomeAnswered,
+		Reached: true,
+		Status:  res.StatusCode,
+		Header:  PassedFields(res.Header),
+		Body:    body,
 	}
 }
 
--- /dev/null
+++ b/depot/work.go
@@ -0,0 +1,98 @@
+package depot
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+)
+
+// Work is a call that an adapter takes from a caller or from the VM's own
+// upstream.
+type Work struct {
+	// ID identifies the call; the upstream gets it too.
+	ID     string
+	Policy *record.Policy
+	// Caller is the identity by which callers share a class fairly.
+	Caller string
+	// Left is how long the caller waits, in milliseconds.
+	Left clock.Millis
+	// Onward marks a call that the VM's own upstream makes for work that it
+	// runs.
+	Onward bool
+	Method string
+	// Path is the path with the query.
+	Path   string
+	Header []portage.Field
+	Body   []byte
+}
+
+// Carrier carries out work. It is safe for concurrent use.
+type Carrier interface {
+	// Carry sends the work to a VM that runs it. The context ends when the
+	// caller does not wait any more.
+	Carry(ctx context.Context, w *Work) *portage.Answer
+	// Configuration returns the routes in force; nil before there are any.
+	Configuration() *record.Configuration
+	// Leaving tells that the node stops: connections are not kept.
+	Leaving() bool
+	// Ready tells that the node has routes and is not leaving.
+	Ready() bool
+}
+
+// Carry implements Carrier.
+func (n *Node) Carry(ctx context.Context, w *Work) *portage.Answer {
+	n.entry.inWork.Add(1)
+	defer n.entry.inWork.Add(-1)
+	o := n.entry.order(ctx, w)
+	a := n.entry.sender.send(o)
+	n.metrics.outcome(w.Policy.Name(), a.Outcome, a.Reason)
+	return a
+}
+
+// Configuration implements Carrier.
+func (n *Node) Configuration() *record.Configuration { return n.routes.Load() }
+
+// Leaving implements Carrier.
+func (n *Node) Leaving() bool { return n.owner.leaving.Load() }
+
+// Ready implements Carrier.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.Leaving() }
+
+// order makes an order of work. Calls for work that runs already come before
+// all others: without them, what was done for it is lost.
+func (e *entry) order(ctx context.Context, w *Work) *order {
+	p := w.Policy
+	class := booking.ClassOf(p.Protected() || w.Onward, p.Rank())
+	r := &run{
+		ctx:      ctx,
+		request:  w.ID,
+		class:    class,
+		group:    p.Name(),
+		caller:   w.Caller,
+		deadline: e.clock.Now() + w.Left,
+		account:  ledger.NewAccount(p.ExtraTries()),
+	}
+	return &order{
+		run:        r,
+		service:    p.ServiceAt(rand.Float64()),
+		idempotent: p.Idempotent(),
+		maxTries:   p.Tries(),
+		call: portage.Call{
+			Request: w.ID,
+			Kind:    p.Name(),
+			Group:   r.group,
+			Class:   uint8(class),
+			Caller:  w.Caller,
+			Method:  w.Method,
+			Path:    w.Path,
+			Header:  w.Header,
+			Body:    w.Body,
+			Sum:     portage.Checksum(w.Body),
+		},
+	}
+}
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -20,11 +20,16 @@
 // region.
 const farRank = 3
 
+// scanSize is the number of VMs of a tier up to which all are compared.
+const scanSize = 4
+
 // Request is a call that needs a VM.
 type Request struct {
 	// Service runs the kind of work.
 	Service string
 	Class   booking.Class
+	// Kind is the kind of work.
+	Kind string
 	// Avoid names VMs that were tried already.
 	Avoid []string
 }
@@ -34,8 +39,15 @@
 	VM     record.VM
 	Target *Target
 	Tier   Tier
+	// Cost is the expected duration of the call, with what the distance adds,
+	// and Spare how much longer it may take before the next best VM is better;
+	// both in milliseconds.
+	Cost, Spare float64
 }
 
+// unlimited is the Spare of the only VM, in milliseconds.
+const unlimited = 1e9
+
 // Router picks VMs. Readers take no lock. Create it with NewRouter.
 type Router struct {
 	self  string
@@ -113,6 +125,13 @@
 	return r.targetLocked(vm)
 }
 
+// Known reports whether the node knows anything of a VM.
+func (r *Router) Known(vm string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.targets[vm] != nil
+}
+
 func (r *Router) targetLocked(vm string) *Target {
 	t := r.targets[vm]
 	if t == nil {
@@ -153,20 +172,66 @@
 	faulty bool
 	// refused is set when a VM was passed over because it refuses the class.
 	refused bool
+	// usual is the mean duration of a run over all VMs, in milliseconds.
+	usual float64
+}
+
+// cost is the expected duration of the call on a VM, raised by the errors that
+// the VM answers and by the use of its slots, in milliseconds.
+func (s *search) cost(c *choice) float64 {
+	t := c.target
+	load := t.load(s.now)
+	if slots := c.vm.Slots(); slots > 0 {
+		load = max(load, float64(t.InFlight())/float64(slots))
+	} else {
+		load = max(load, float64(t.InFlight()))
+	}
+	run := t.run(s.now, s.request.Kind, t.latencyOr(s.usual)) + 1
+	return t.wait(s.now) + run*(1+load*load)*(1+errorPenalty*t.errorShare())
+}
+
+// usualRun returns the mean duration of a run of a kind over all VMs.
+func (p *plan) usualRun(now clock.Millis, kind string) float64 {
+	sum, n := 0.0, 0
+	for _, tier := range p.tiers {
+		for _, c := range tier {
+			if run := c.target.run(now, kind, c.target.latencyOr(0)); run > 0 {
+				sum += run
+				n++
+			}
+		}
+	}
+	return sum / float64(max(n, 1))
 }
 
-// search looks through the tiers, nearest first. The far tier is for classes
-// that are worth it, and for all when no VM is alive in the region.
+// search takes the cheapest VM of all tiers. The far tier is for classes that
+// are worth it, and for all when no VM is alive in the region.
 func (r *Router) search(p *plan, s *search) (Pick, bool) {
+	s.usual = p.usualRun(s.now, s.request.Kind)
+	var best *choice
+	var found Pick
 	for tier := range p.tiers {
 		if Tier(tier) == TierFar && !mayLeaveRegion(s.request.Class) && p.aliveNear(s.now) {
 			break
 		}
-		if c := r.pickIn(p.tiers[tier], s); c != nil {
-			return Pick{VM: c.vm, Target: c.target, Tier: Tier(tier)}, true
+		c := r.pickIn(p.tiers[tier], s)
+		if c == nil {
+			continue
+		}
+		cost := tierCost[tier] + s.cost(c)
+		switch {
+		case best == nil:
+			found = Pick{Cost: cost, Spare: unlimited}
+		case cost < found.Cost:
+			found = Pick{Cost: cost, Spare: found.Cost - cost}
+		default:
+			found.Spare = min(found.Spare, cost-found.Cost)
+			continue
 		}
+		best = c
+		found.VM, found.Target, found.Tier = c.vm, c.target, Tier(tier)
 	}
-	return Pick{}, false
+	return found, best != nil
 }
 
 // aliveNear reports whether a VM of the node's own region takes work.
@@ -187,45 +252,39 @@
 	return c.Protected() || c.Rank() <= farRank
 }
 
-// pickIn takes the better of two random choices, or any other when neither is
-// usable; nil when none is.
+// pickIn takes the cheapest of a few choices, or of two random ones of many, or
+// any other when neither is usable; nil when none is.
 func (r *Router) pickIn(choices []choice, s *search) *choice {
 	n := len(choices)
 	if n == 0 {
 		return nil
 	}
-	first := r.random(n)
-	second := (first + 1 + r.random(max(n-1, 1))) % n
-	a, b := &choices[first], &choices[second]
-	aOK, bOK := r.usable(a, s), r.usable(b, s)
-	switch {
-	case aOK && bOK:
-		return better(a, b)
-	case aOK:
-		return a
-	case bOK:
-		return b
-	default:
-		return r.anyOf(choices, s)
+	if n <= scanSize {
+		return r.cheapest(choices, s)
 	}
-}
-
-func better(a, b *choice) *choice {
-	if b.target.score() < a.target.score() {
-		return b
+	first := r.random(n)
+	second := (first + 1 + r.random(n-1)) % n
+	if c := r.cheapest([]choice{choices[first], choices[second]}, s); c != nil {
+		return c
 	}
-	return a
+	return r.cheapest(choices, s)
 }
 
-// anyOf scans all choices from a random start.
-func (r *Router) anyOf(choices []choice, s *search) *choice {
+// cheapest scans the choices from a random start.
+func (r *Router) cheapest(choices []choice, s *search) *choice {
 	start := r.random(len(choices))
+	var best *choice
+	least := 0.0
 	for i := range choices {
-		if c := &choices[(start+i)%len(choices)]; r.usable(c, s) {
-			return c
+		c := &choices[(start+i)%len(choices)]
+		if !r.usable(c, s) {
+			continue
+		}
+		if cost := s.cost(c); best == nil || cost < least {
+			best, least = c, cost
 		}
 	}
-	return nil
+	return best
 }
 
 // usable reports whether c takes the call. Now and then a call tests a VM that
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
-	"cuminhollow.example/ledger"
 )
 
 // Parameters of a Target.
@@ -22,15 +22,16 @@
 	// levelProbe is how often a call passes a level that refuses it, in
 	// milliseconds.
 	levelProbe clock.Millis = 50
-	// leavingAge is how long a VM's own notice of leaving is believed: longer
-	// than any planned stop, in milliseconds.
-	leavingAge clock.Millis = 10 * clock.Minute
+	// leavingAge is how long a VM's own notice of leaving is believed, in
+	// milliseconds. A VM that is asked too early refuses and so renews it.
+	leavingAge clock.Millis = 2 * clock.Second
 	// meanWeight is the weight of a new sample in a mean.
 	meanWeight = 0.2
 	// faultyShare is the share of errors above which a VM is left out.
 	faultyShare = 0.5
-	// errorPenalty multiplies the score of a VM that answers only errors.
-	errorPenalty = 100
+	// errorPenalty is added to the factor of the cost of a VM that answers only
+	// errors.
+	errorPenalty = 8
 )
 
 // Target is what a node knows of one VM from its own traffic. It outlives
@@ -52,12 +53,15 @@
 	nextProbe  atomic.Int64
 	// leavingUntil is past the present while the VM is said to leave.
 	leavingUntil atomic.Int64
-	retries      *ledger.Bucket
+	// outlook is what the VM last said of its upstream.
+	outlook atomic.Pointer[outlook]
+	// runs holds a *runMean for each kind of work.
+	runs sync.Map
 }
 
 // NewTarget returns a target with no history.
 func NewTarget(name string) *Target {
-	t := &Target{name: name, retries: ledger.NewBucket()}
+	t := &Target{name: name}
 	t.level.Store(booking.Classes)
 	return t
 }
@@ -65,9 +69,6 @@
 // Name returns the name of the VM.
 func (t *Target) Name() string { return t.name }
 
-// Retries returns the bucket that bounds the retries to the VM.
-func (t *Target) Retries() *ledger.Bucket { return t.retries }
-
 // InFlight returns the calls begun and not ended.
 func (t *Target) InFlight() int { return int(t.inFlight.Load()) }
 
@@ -169,9 +170,14 @@
 	return int64(now) >= next && t.nextProbe.CompareAndSwap(next, int64(now+levelProbe))
 }
 
-// score is lower for a better VM: the work that it would have in flight times
-// the time that it takes for each, raised by the errors that it answers.
-func (t *Target) score() float64 {
-	work := float64(t.inFlight.Load()+1) * (math.Float64frombits(t.latency.Load()) + 1)
-	return work * (1 + errorPenalty*math.Float64frombits(t.errors.Load()))
+// errorShare returns the share of answers that report an error, from 0 to 1.
+func (t *Target) errorShare() float64 { return math.Float64frombits(t.errors.Load()) }
+
+// latencyOr returns the mean duration of a call, or usual when none ended yet,
+// in milliseconds.
+func (t *Target) latencyOr(usual float64) float64 {
+	if latency := math.Float64frombits(t.latency.Load()); latency > 0 {
+		return latency
+	}
+	return usual
 }
--- a/node/main.go
+++ b/node/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"cuminhollow.example/depot"
+	"cuminhollow.example/platform"
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -61,7 +62,11 @@
 		return trace.Wrap(err)
 	}
 	log := zerolog.New(newLineWriter(os.Stderr)).With().Timestamp().Logger()
-	n, err := depot.New(s, depot.WithLogger(log))
+	opts := []depot.Option{depot.WithLogger(log)}
+	if s.Adapter().Name == platform.Name {
+		opts = append(opts, platform.Options(s, log)...)
+	}
+	n, err := depot.New(s, opts...)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/portage/message.go
+++ b/portage/message.go
@@ -93,6 +93,8 @@
 	stream
 	// Request identifies the request of the outside caller.
 	Request string
+	// VM names the VM whose upstream is meant; empty for whichever is there.
+	VM string
 	// Ticket is empty for idempotent work.
 	Ticket string
 	Kind   string
@@ -103,6 +105,9 @@
 	Caller string
 	// TimeLeftMS is the time until the deadline, in milliseconds.
 	TimeLeftMS int64
+	// PatienceMS is the longest wait for a slot with which the call is not
+	// better sent elsewhere, in milliseconds; negative for no bound.
+	PatienceMS int64
 	// Grant is the number of extra tries that go with the call.
 	Grant  int
 	Method string
@@ -157,6 +162,13 @@
 	Unspent int
 	// Level is the first class that the node refuses at present.
 	Level uint8
+	// WaitMS is the wait that a call like this one has to expect, and RunMS the
+	// mean duration of a run of its kind, 0 when unknown; in milliseconds.
+	WaitMS, RunMS int64
+	// Load is the share of the upstream's slots in use, in thousandths.
+	Load int
+	// Reached tells that the call was sent to the upstream.
+	Reached bool
 	// RetryAfterMS is when another try may be of use, in milliseconds.
 	RetryAfterMS int64
 }
--- a/record/policy.go
+++ b/record/policy.go
@@ -32,6 +32,57 @@
 	protected  bool
 	retired    bool
 	schema     int
+	// limit is the longest time that a caller is kept waiting; 0 means target.
+	limit clock.Millis
+	// parts share the work by weight; empty when service does all of it.
+	parts []Part
+}
+
+// PolicyOption sets a field of a Policy.
+type PolicyOption func(*Policy)
+
+// NewPolicy returns the policy of a kind of work that a service runs: once, of
+// rank 0, within a second, unless options say otherwise.
+func NewPolicy(name, service string, opts ...PolicyOption) *Policy {
+	p := &Policy{name: name, service: service, target: clock.Second, tries: 1, schema: SchemaV2}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// WithRank sets the rank, limited to 0 to MaxRank; the default is 0.
+func WithRank(rank int) PolicyOption {
+	return func(p *Policy) { p.rank = max(0, min(rank, MaxRank)) }
+}
+
+// WithTarget sets the target time, limited to 1 to MaxTarget; the default is
+// one second.
+func WithTarget(target clock.Millis) PolicyOption {
+	return func(p *Policy) { p.target = max(1, min(target, MaxTarget)) }
+}
+
+// WithLimit sets the longest time that a caller is kept waiting; the default is
+// the target time.
+func WithLimit(limit clock.Millis) PolicyOption {
+	return func(p *Policy) { p.limit = max(0, min(limit, MaxTarget)) }
+}
+
+// WithTries sets the tries, limited to 1 to MaxTries; the default is 1.
+func WithTries(tries int) PolicyOption {
+	return func(p *Policy) { p.tries = max(1, min(tries, MaxTries)) }
+}
+
+// WithIdempotent marks work that may run twice; the default is work that may
+// not.
+func WithIdempotent(idempotent bool) PolicyOption {
+	return func(p *Policy) { p.idempotent = idempotent }
+}
+
+// WithParts shares the work among services by weight; the default is one
+// service.
+func WithParts(parts []Part) PolicyOption {
+	return func(p *Policy) { p.parts = parts }
 }
 
 func (*Policy) isContent() {}
@@ -48,6 +99,35 @@
 // Target returns the time within which callers need the answer.
 func (p *Policy) Target() clock.Millis { return p.target }
 
+// Limit returns the longest time that a caller is kept waiting.
+func (p *Policy) Limit() clock.Millis {
+	if p.limit == 0 {
+		return p.target
+	}
+	return p.limit
+}
+
+// ServiceAt returns the service that runs the work at a point, from 0 to 1, of
+// the services laid end to end by their weights.
+func (p *Policy) ServiceAt(point float64) string {
+	if len(p.parts) == 0 {
+		return p.service
+	}
+	return partAt(p.parts, point)
+}
+
+// Services returns all services that may run the work.
+func (p *Policy) Services() []string {
+	if len(p.parts) == 0 {
+		return []string{p.service}
+	}
+	out := make([]string, 0, len(p.parts))
+	for _, part := range p.parts {
+		out = append(out, part.Service)
+	}
+	return out
+}
+
 // Tries returns the most tries over the whole call chain, the first included.
 func (p *Policy) Tries() int { return p.tries }
 
--- a/record/roster.go
+++ b/record/roster.go
@@ -16,6 +16,12 @@
 	zone    string
 	address string
 	state   VMState
+	// upstream is the address of the VM's upstream, and slots the requests that
+	// it runs at once; empty and 0 where the list does not tell.
+	upstream string
+	slots    int
+	// started tells one process of the upstream from the next.
+	started uint64
 }
 
 // NewVM returns an entry. Address is the host and port of the VM's node for
@@ -24,6 +30,23 @@
 	return VM{name: name, region: region, zone: zone, address: address, state: state}
 }
 
+// WithUpstream returns a copy that tells the address of the VM's upstream, the
+// number of requests that it runs at once, and a number that tells one process
+// of it from the next.
+func (v VM) WithUpstream(address string, slots int, started uint64) VM {
+	v.upstream, v.slots, v.started = address, slots, started
+	return v
+}
+
+// Upstream returns the address of the VM's upstream; empty when unknown.
+func (v VM) Upstream() string { return v.upstream }
+
+// Slots returns the requests that the upstream runs at once; 0 when unknown.
+func (v VM) Slots() int { return v.slots }
+
+// Started tells one process of the upstream from the next; 0 when unknown.
+func (v VM) Started() uint64 { return v.started }
+
 // Name returns the name of the VM, unique in the fleet.
 func (v VM) Name() string { return v.name }
 
@@ -49,6 +72,11 @@
 
 func (*Roster) isContent() {}
 
+// NewRoster returns the list of the VMs of a service, whose names differ.
+func NewRoster(service string, vms []VM) *Roster {
+	return &Roster{service: service, vms: vms}
+}
+
 // Service returns the service that the VMs run.
 func (r *Roster) Service() string { return r.service }
 
