dispatch: distance costs a share of the target time

Cause: calls of long runs left the region for servers that were faster by more than a fixed cost, though the answer at home was in good time; bytes between regions were the dearest price.

--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -43,6 +43,8 @@
 	// service runs the work.
 	service    string
 	idempotent bool
+	// target is the time within which the answer is of full use.
+	target clock.Millis
 	// avoid names the VMs that were tried.
 	avoid []string
 	// moves counts the refusals by owners whose upstream was not reached.
@@ -135,6 +137,7 @@
 		Service: o.service,
 		Class:   o.run.class,
 		Kind:    o.call.Kind,
+		Target:  o.target,
 		Avoid:   o.avoid,
 	})
 	if err != nil {
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -212,6 +212,7 @@
 		run:        r,
 		service:    p.Service(),
 		idempotent: p.Idempotent(),
+		target:     min(p.Target(), p.Limit()),
 		maxTries:   p.Tries(),
 		call: portage.Call{
 			Request: r.request,
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -34,6 +34,8 @@
 	adapter   AdapterSettings
 	retries   retrySettings
 	stop      stopSettings
+	// heapGrowth is from 0 to maxHeapGrowth.
+	heapGrowth int
 }
 
 // AdapterSettings tell a program which adapter connects the node, and what the
@@ -167,6 +169,9 @@
 	Adapter   AdapterSettings   `yaml:"adapter"`
 	Retries   retrySettings     `yaml:"retries"`
 	Stop      stopSettings      `yaml:"stop"`
+	// HeapGrowth is the growth of the heap between two collections, in percent;
+	// 0 lets it grow to a fixed size.
+	HeapGrowth int `yaml:"heap_growth_percent"`
 }
 
 // VM returns the name of the VM.
@@ -187,6 +192,10 @@
 // Platform returns the addresses of the configuration service.
 func (s *Settings) Platform() []string { return s.platform }
 
+// HeapGrowth returns the growth of the heap between two collections, in
+// percent; 0 lets it grow to a fixed size.
+func (s *Settings) HeapGrowth() int { return s.heapGrowth }
+
 // LoadSettings reads and checks the settings file at path.
 func LoadSettings(path string) (*Settings, error) {
 	body, err := os.ReadFile(path)
@@ -231,6 +240,8 @@
 		adapter:   f.Adapter,
 		retries:   f.Retries,
 		stop:      f.Stop,
+
+		heapGrowth: f.HeapGrowth,
 	}, nil
 }
 
--- a/depot/work.go
+++ b/depot/work.go
@@ -81,6 +81,7 @@
 		run:        r,
 		service:    p.ServiceAt(rand.Float64()),
 		idempotent: p.Idempotent(),
+		target:     min(p.Target(), p.Limit()),
 		maxTries:   p.Tries(),
 		call: portage.Call{
 			Request: w.ID,
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -13,14 +13,27 @@
 	// runAge is the span after which a mean duration counts by a third only, in
 	// milliseconds.
 	runAge clock.Millis = 4 * clock.Second
-	// tierRegionCost and tierFarCost are how much longer a call may take nearer
-	// by before a VM of the tier is better, in milliseconds.
-	tierRegionCost = 10
-	tierFarCost    = 150
+	// regionParts and farParts are the parts of its target time that a call may
+	// take longer nearer by before a VM of the tier is better, and regionCost and
+	// farCost the least that it may, in milliseconds.
+	regionParts = 25
+	regionCost  = 5
+	farParts    = 2
+	farCost     = 120
 )
 
-// tierCost is the cost of each tier, in milliseconds.
-var tierCost = [tiers]float64{TierZone: 0, TierRegion: tierRegionCost, TierFar: tierFarCost}
+// tierCost is what the distance of a tier costs a call, in milliseconds: an
+// answer in good time is not worth the bytes of a longer way.
+func tierCost(tier Tier, target clock.Millis) float64 {
+	switch tier {
+	case TierZone:
+		return 0
+	case TierRegion:
+		return max(regionCost, float64(target)/regionParts)
+	default:
+		return max(farCost, float64(target)/farParts)
+	}
+}
 
 // outlook is what a VM said of its upstream at a time. It is immutable.
 type outlook struct {
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -30,6 +30,9 @@
 	Class   booking.Class
 	// Kind is the kind of work.
 	Kind string
+	// Target is the time within which the answer is of full use, in
+	// milliseconds.
+	Target clock.Millis
 	// Avoid names VMs that were tried already.
 	Avoid []string
 }
@@ -218,7 +221,7 @@
 		if c == nil {
 			continue
 		}
-		cost := tierCost[tier] + s.cost(c)
+		cost := tierCost(Tier(tier), s.request.Target) + s.cost(c)
 		switch {
 		case best == nil:
 			found = Pick{Cost: cost, Spare: unlimited}
--- a/node/main.go
+++ b/node/main.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go tuneMemory(ctx)
+	if percent := s.HeapGrowth(); percent > 0 {
+		keepSmall(percent)
+	} else {
+		go tuneMemory(ctx)
+	}
 	return trace.Wrap(n.Run(ctx))
 }
--- a/node/memory.go
+++ b/node/memory.go
@@ -19,6 +19,10 @@
 	percentMax = 1000
 )
 
+// keepSmall makes the collector run when the heap has grown by a share of what
+// is live, in percent: for VMs whose memory is dearer than their processor.
+func keepSmall(percent int) { debug.SetGCPercent(percent) }
+
 // tuneMemory makes the collector run when the heap has reached heapTarget, or
 // twice what is live if that is more.
 func tuneMemory(ctx context.Context) {
