depot: repeats within a budget at the upstream, onward calls first, planned stop by its time

The owner now sends a refused call again within the users' budget, counted at the upstream over a sliding window, refuses roots whose onward calls fail, and puts onward calls first, which it learns from where calls begin.

--- /dev/null
+++ b/booking/origins.go
@@ -0,0 +1,90 @@
+package booking
+
+import "sync"
+
+// Parameters of Origins.
+const (
+	// originMemory is the number of calls of a kind after which the older ones
+	// count by half.
+	originMemory = 256
+	// originMin is the number of calls of a kind below which nothing is said.
+	originMin = 12
+	// originShare is the part of a kind's calls, for VMs of one service, above
+	// which they are not those of outside callers, and originRatio the same in
+	// units of an even share.
+	originShare = 0.4
+	originRatio = 1.6
+)
+
+// Origins learns which kinds of work are onward calls. Outside callers send
+// their calls through the VMs of all services alike; an onward call begins on
+// the VMs of the services that make it. It is safe for concurrent use. The zero
+// value knows nothing.
+type Origins struct {
+	mu sync.Mutex
+	// kinds has at most maxKinds entries.
+	kinds map[string]*origin
+	// sizes is the number of VMs of each service.
+	sizes map[string]int
+}
+
+// origin counts the calls of one kind by the service where they began.
+type origin struct {
+	total    float64
+	services map[string]float64
+}
+
+// Resize sets the number of VMs of each service.
+func (o *Origins) Resize(sizes map[string]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sizes = sizes
+}
+
+// Note counts a call of a kind that began on a VM of a service.
+func (o *Origins) Note(kind, service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	k := o.kinds[kind]
+	if k == nil {
+		if len(o.kinds) >= maxKinds {
+			return
+		}
+		if o.kinds == nil {
+			o.kinds = make(map[string]*origin)
+		}
+		k = &origin{services: make(map[string]float64)}
+		o.kinds[kind] = k
+	}
+	k.total++
+	k.services[service]++
+	if k.total < originMemory {
+		return
+	}
+	k.total /= 2
+	for s := range k.services {
+		k.services[s] /= 2
+	}
+}
+
+// Onward reports whether the calls of a kind are made for work that runs
+// already.
+func (o *Origins) Onward(kind string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	k := o.kinds[kind]
+	if k == nil || k.total < originMin {
+		return false
+	}
+	sum, most := 0.0, 0.0
+	for s, n := range k.services {
+		perVM := n / float64(max(o.sizes[s], 1))
+		sum += perVM
+		most = max(most, perVM)
+	}
+	limit := originShare
+	if n := len(o.sizes); n > 0 {
+		limit = max(limit, originRatio/float64(n))
+	}
+	return most > limit*sum
+}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -184,6 +184,7 @@
 	began := time.Now()
 	a, sent, err := s.exchange(ctx, o, p)
 	now := s.clock.Now()
+	o.call.Repeat = o.call.Repeat || err == nil && a.Reached || err != nil && sent
 	switch {
 	case err == nil:
 		pick.Target.End(millisSince(began), a.Status >= http.StatusInternalServerError)
@@ -220,10 +221,13 @@
 	again := false
 	switch a.Outcome {
 	case portage.OutcomeNotRun:
-		if a.Reason == reasonBusy || a.Reason == reasonLeaving {
+		switch a.Reason {
+		case reasonExpired, reasonBadTicket, reasonOnward, reasonTries:
+			return a, nextNone
+		case reasonBusy, reasonLeaving:
 			return a, nextMove
 		}
-		again = a.Reason != reasonExpired && a.Reason != reasonBadTicket
+		again = true
 	case portage.OutcomeUnknown:
 		again = o.idempotent
 	default:
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -34,7 +34,9 @@
 	throttle *booking.Throttle
 	routes   []Route
 	identity string
-	leaving  atomic.Bool
+	// service is that of the node's VM.
+	service string
+	leaving atomic.Bool
 	// inWork counts the calls that are not answered yet.
 	inWork atomic.Int64
 }
@@ -76,7 +78,7 @@
 	defer stop()
 	scoped := *r
 	scoped.ctx = ctx
-	o := newOrder(&scoped, q, policy, body)
+	o := e.newOrder(&scoped, q, policy, body)
 	a := e.answer(q, o)
 	if onward {
 		e.throttle.Note(e.clock.Now(), r.group, isFailure(a))
@@ -207,7 +209,7 @@
 	}
 }
 
-func newOrder(r *run, q *http.Request, p *record.Policy, body []byte) *order {
+func (e *entry) newOrder(r *run, q *http.Request, p *record.Policy, body []byte) *order {
 	return &order{
 		run:        r,
 		service:    p.Service(),
@@ -220,6 +222,7 @@
 			Group:   r.group,
 			Class:   uint8(r.class),
 			Caller:  r.caller,
+			Origin:  e.service,
 			Method:  q.Method,
 			Path:    q.URL.RequestURI(),
 			Header:  PassedFields(q.Header),
--- a/depot/node.go
+++ b/depot/node.go
@@ -55,6 +55,8 @@
 	// routes is the configuration in force; nil before the first one, and
 	// without a Source.
 	routes atomic.Pointer[record.Configuration]
+	// closed is set when a planned stop takes no calls any more.
+	closed atomic.Bool
 	// listed is set once the VM's own upstream was in a list.
 	listed atomic.Bool
 	source Source
@@ -154,6 +156,10 @@
 		throttle: throttle,
 		early:    s.policy.early(),
 		metrics:  n.metrics,
+		repeats:  s.retries.repeats(),
+	}
+	if n.source != nil {
+		n.owner.origins = new(booking.Origins)
 	}
 	n.entry = &entry{
 		clock: n.clock,
@@ -165,13 +171,13 @@
 			metrics: n.metrics,
 			perHop:  s.policy.perHop(),
 			early:   s.policy.early(),
-			grace:   s.stop.Grace,
-			retries: s.retries.bucket(),
+			grace:   s.adapter.Grace,
 		},
 		runs:     runs,
 		metrics:  n.metrics,
 		throttle: throttle,
 		routes:   s.routes,
+		service:  s.service,
 		identity: s.callers.Identity,
 	}
 	n.spread = &spread{
@@ -206,7 +212,6 @@
 	g, gctx := errgroup.WithContext(work)
 	g.Go(func() error { return n.server.Serve(listeners.peers) })
 	operators := n.serveHTTP(g, listeners.operators, n.operators())
-	defer func() { _ = operators.Close() }()
 	var callers []*http.Server
 	if n.source != nil {
 		callers = n.serveSource(g, gctx, listeners)
@@ -218,6 +223,7 @@
 	case <-gctx.Done():
 	}
 	n.stop(listeners.peers, callers)
+	_ = operators.Close()
 	stopWork(errShutdown)
 	err = g.Wait()
 	n.log.Info().Str("event", "stopped").Str("vm", n.settings.vm).Send()
@@ -273,7 +279,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.stop.timeout())
 	defer cancel()
 	n.Drain()
-	clock.Sleep(ctx, n.settings.stop.Linger.Duration())
+	clock.Sleep(ctx, n.settings.stop.linger())
+	n.closed.Store(true)
 	n.settle(ctx)
 	for _, s := range callers {
 		_ = s.Shutdown(ctx)
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 
 	"cuminhollow.example/booking"
@@ -19,6 +20,10 @@
 	outcomeGrace = 10 * clock.Second
 	// answerOverhead is the memory of a kept answer besides its body, in bytes.
 	answerOverhead = 512
+	// againPause is the wait before a call that the upstream refused is sent
+	// again, doubled up to againPauseLimit, in milliseconds.
+	againPause      clock.Millis = 4
+	againPauseLimit clock.Millis = 32
 	// loadScale is the unit of a load in an answer.
 	loadScale = 1000
 )
@@ -32,6 +37,11 @@
 	runs     *runTable
 	throttle *booking.Throttle
 	metrics  *metrics
+	// origins tells which kinds are onward calls where those do not name their
+	// run; nil where they do.
+	origins *booking.Origins
+	// repeats bounds what reaches the upstream again.
+	repeats *ledger.Repeats
 	// early makes the owner refuse calls whose onward calls would fail.
 	early   bool
 	leaving atomic.Bool
@@ -147,10 +157,11 @@
 	if o.leaving.Load() || o.closed.Load() {
 		return notRun(reasonLeaving, c.Grant)
 	}
-	if o.early && !o.throttle.Admit(o.clock.Now(), c.Group) {
-		return notRun(reasonOverload, c.Grant)
+	class, onward := o.class(c)
+	if o.early && !onward && !o.throttle.Admit(o.clock.Now(), c.Group) {
+		return notRun(reasonOnward, c.Grant)
 	}
-	b := booking.NewCall(booking.Class(c.Class), c.Group, c.Caller, deadline)
+	b := booking.NewCall(class, c.Group, c.Caller, deadline)
 	if c.PatienceMS >= 0 {
 		b.SetPatience(clock.Millis(c.PatienceMS))
 	}
@@ -171,6 +182,21 @@
 	return notRun(reasonOverload, c.Grant)
 }
 
+// class returns the class of a call and whether it is an onward call of work
+// that runs already. Where such calls do not name their run, they come before
+// all others.
+func (o *owner) class(c *portage.Call) (booking.Class, bool) {
+	class := booking.Class(min(c.Class, booking.Classes-1))
+	if o.origins == nil {
+		return class, false
+	}
+	o.origins.Note(c.Kind, c.Origin)
+	if !o.origins.Onward(c.Kind) {
+		return class, false
+	}
+	return booking.ClassOf(true, class.Rank()), true
+}
+
 // queued waits for the verdict on a queued call, while it can still end in
 // time. The refusal of one that cannot then reaches the entry before the
 // deadline, and is not taken for a lost answer.
@@ -213,9 +239,12 @@
 		deadline: deadline,
 		account:  account,
 	})
-	res := o.upstream.Run(ctx, c, id, deadline-now)
+	res := o.run(ctx, c, id, deadline)
 	o.runs.remove(id)
 	ended := o.clock.Now()
+	if o.origins != nil {
+		o.throttle.Note(ended, c.Group, failedRun(res))
+	}
 	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
 	o.metrics.run(res.Outcome, ended-now)
 	return &portage.Answer{
@@ -230,6 +259,31 @@
 	}
 }
 
+// run sends a call to the upstream, and again as long as the upstream refuses it
+// and the bound on repeats allows.
+func (o *owner) run(ctx context.Context, c *portage.Call, id string, deadline clock.Millis) RunResult {
+	if c.Repeat {
+		if !o.repeats.Take(o.clock.Now()) {
+			return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonTries}
+		}
+	} else {
+		o.repeats.First(o.clock.Now())
+	}
+	for pause := againPause; ; pause = min(2*pause, againPauseLimit) {
+		res := o.upstream.Run(ctx, c, id, deadline-o.clock.Now())
+		if !res.Again || ctx.Err() != nil || o.clock.Now()+againPauseLimit >= deadline || !o.repeats.Take(o.clock.Now()) {
+			return res
+		}
+		clock.Sleep(ctx, pause.Duration())
+	}
+}
+
+// failedRun reports whether a run ended without what the caller wanted, which
+// most often is for an onward call that failed.
+func failedRun(r RunResult) bool {
+	return r.Outcome == portage.OutcomeUnknown || r.Outcome == portage.OutcomeAnswered && r.Status >= http.StatusInternalServerError
+}
+
 // resultOf classifies the end of a run for the concurrency limit.
 func resultOf(ctx context.Context, res RunResult, late bool) booking.Result {
 	switch {
--- a/depot/problem.go
+++ b/depot/problem.go
@@ -19,6 +19,8 @@
 	reasonNoRun       = "unknown-run"
 	reasonOverload    = "overload"
 	reasonBusy        = "busy"
+	reasonOnward      = "onward-overload"
+	reasonTries       = "no-tries-left"
 	reasonExpired     = "expired"
 	reasonLeaving     = "leaving"
 	reasonUnreachable = "unreachable"
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -45,47 +45,76 @@
 	Name string `yaml:"name"`
 	// Regions maps each availability zone to its region.
 	Regions map[string]string `yaml:"regions"`
+	// Grace is how long after its deadline an answer is still awaited, in
+	// milliseconds.
+	Grace clock.Millis `yaml:"answer_grace_ms"`
 	// PeerPort is the port on which the nodes of all VMs listen for peers.
 	PeerPort int `yaml:"peer_port"`
 }
 
-// retrySettings bound the retries to a service, beside each request's tries.
+// retrySettings bound what reaches the upstreams of a service again, beside
+// each request's tries. The zero value bounds it to a tenth.
 type retrySettings struct {
-	// Share is the retries that each first try earns; 0 for the default.
+	// Share is the repeats for each first request of a window, and Spare the
+	// number beyond, over all VMs of the service.
 	Share float64 `yaml:"share"`
-	// Burst is the most retries at once; 0 for the default.
-	Burst float64 `yaml:"burst"`
+	Spare float64 `yaml:"spare"`
+	// Window is the span of a window, in seconds; 0 for the default.
+	Window float64 `yaml:"window_s"`
 }
 
-func (r retrySettings) bucket() []ledger.BucketOption {
-	var opts []ledger.BucketOption
-	if r.Share > 0 {
-		opts = append(opts, ledger.WithShare(r.Share))
+const (
+	defaultRepeatShare               = 0.1
+	defaultRepeatSpare               = 10
+	defaultRepeatWindow clock.Millis = 10 * clock.Second
+	// repeatMargin is the part of what the settings allow that is used: calls
+	// that a repeated run makes count as repeats too, and are not known as such.
+	repeatMargin = 0.9
+)
+
+func (r retrySettings) repeats() *ledger.Repeats {
+	if r.Window <= 0 {
+		return ledger.NewRepeats(defaultRepeatShare, defaultRepeatSpare, defaultRepeatWindow)
 	}
-	if r.Burst > 0 {
-		opts = append(opts, ledger.WithBurst(r.Burst))
+	window := clock.Millis(r.Window * float64(clock.Second))
+	return ledger.NewRepeats(repeatMargin*r.Share, r.spareOf(1), window)
+}
+
+// spareOf returns the spare repeats of one of n VMs.
+func (r retrySettings) spareOf(n int) float64 {
+	if r.Window <= 0 {
+		return defaultRepeatSpare
 	}
-	return opts
+	return repeatMargin * r.Spare / float64(max(n, 1))
 }
 
-// stopSettings say how a planned stop goes. Times are in milliseconds.
+// stopSettings say how a planned stop goes.
 type stopSettings struct {
-	// Linger is how long calls are taken after the stop began.
-	Linger clock.Millis `yaml:"linger_ms"`
-	// Limit bounds the whole stop; 0 for the default of 11 minutes, which is
-	// longer than the longest target time.
-	Limit clock.Millis `yaml:"limit_ms"`
-	// Grace is how long after its deadline an answer is still awaited.
-	Grace clock.Millis `yaml:"grace_ms"`
+	// Within bounds the whole stop, in seconds; 0 for the default of 11 minutes,
+	// which is longer than the longest target time. Where it is set, calls are
+	// taken for a part of it, until callers have turned to other nodes.
+	Within float64 `yaml:"within_s"`
 }
 
-const defaultStop = 11 * clock.Minute
+const (
+	defaultStop = 11 * clock.Minute
+	// lingerPart of a stop is the time during which calls are still taken, and
+	// settlePart the time after which no call is in flight.
+	lingerPart = 0.45
+	settlePart = 0.85
+)
+
+// linger returns how long calls are taken after a stop began.
+func (s stopSettings) linger() time.Duration {
+	return time.Duration(s.Within * lingerPart * float64(time.Second))
+}
 
+// timeout returns how long work in flight is waited for.
 func (s stopSettings) timeout() time.Duration {
-	if s.Limit <= 0 {
+	if s.Within <= 0 {
 		return defaultStop.Duration()
 	}
-	return s.Limit.Duration()
+	return time.Duration(s.Within * settlePart * float64(time.Second))
 }
 
 // Route maps a method and a path prefix to a kind of work.
--- a/depot/source.go
+++ b/depot/source.go
@@ -39,16 +39,20 @@
 // List implements Sink.
 func (n *Node) List(rosters []*record.Roster) {
 	var own *record.VM
-	size := 0
+	sizes := make(map[string]int, len(rosters))
 	for _, r := range rosters {
 		n.peers.forget(n.router.Update(r))
+		if len(r.VMs()) > 0 {
+			sizes[r.Service()] = len(r.VMs())
+		}
 		for _, v := range r.VMs() {
-			size++
 			if v.Upstream() == n.settings.upstream.Address && r.Service() == n.settings.service {
 				own = &v
 			}
 		}
 	}
+	n.owner.origins.Resize(sizes)
+	n.owner.repeats.SetSpare(n.settings.retries.spareOf(sizes[n.settings.service]))
 	n.follow(own)
 }
 
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -35,9 +35,12 @@
 	Reason string
 	// Reached tells that a byte of the call may have reached the upstream.
 	Reached bool
-	Status  int
-	Header  []portage.Field
-	Body    []byte
+	// Again tells, with OutcomeNotRun, that the upstream may take the call a
+	// moment later.
+	Again  bool
+	Status int
+	Header []portage.Field
+	Body   []byte
 }
 
 // upstream is an Upstream that speaks the product's own HTTP interface.
@@ -82,13 +85,13 @@
 	q.Header.Set(HeaderRank, strconv.Itoa(int(c.Class)))
 	res, err := u.client.Do(q)
 	if err != nil {
-		return failedRun(written.Load())
+		return brokenRun(written.Load())
 	}
 	defer func() { _ = res.Body.Close() }()
 	return readRun(res)
 }
 
-func failedRun(written bool) RunResult {
+func brokenRun(written bool) RunResult {
 	if !written {
 		return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonUnreachable}
 	}
--- a/depot/work.go
+++ b/depot/work.go
@@ -40,6 +40,8 @@
 	Configuration() *record.Configuration
 	// Leaving tells that the node stops: connections are not kept.
 	Leaving() bool
+	// Closed tells that the node stops and takes no calls any more.
+	Closed() bool
 	// Ready tells that the node has routes and is not leaving.
 	Ready() bool
 }
@@ -60,6 +62,9 @@
 // Leaving implements Carrier.
 func (n *Node) Leaving() bool { return n.owner.leaving.Load() }
 
+// Closed implements Carrier.
+func (n *Node) Closed() bool { return n.closed.Load() }
+
 // Ready implements Carrier.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.Leaving() }
 
@@ -89,6 +94,7 @@
 			Group:   r.group,
 			Class:   uint8(class),
 			Caller:  w.Caller,
+			Origin:  e.service,
 			Method:  w.Method,
 			Path:    w.Path,
 			Header:  w.Header,
--- a/portage/message.go
+++ b/portage/message.go
@@ -93,6 +93,8 @@
 	stream
 	// Request identifies the request of the outside caller.
 	Request string
+	// Origin is the service on whose VM the call began.
+	Origin string
 	// VM names the VM whose upstream is meant; empty for whichever is there.
 	VM string
 	// Ticket is empty for idempotent work.
@@ -108,6 +110,8 @@
 	// PatienceMS is the longest wait for a slot with which the call is not
 	// better sent elsewhere, in milliseconds; negative for no bound.
 	PatienceMS int64
+	// Repeat tells that an earlier try of the call reached an upstream.
+	Repeat bool
 	// Grant is the number of extra tries that go with the call.
 	Grant  int
 	Method string
