--- a/depot/node.go
+++ b/depot/node.go
@@ -61,6 +61,7 @@
 	listed atomic.Bool
 	source Source
 	front  func(Carrier) http.Handler
+	reload func(*Settings)
 	// upstream runs calls on the VM's own upstream.
 	upstream Upstream
 	linkOpts []portage.Option
--- /dev/null
+++ b/depot/reload.go
@@ -0,0 +1,38 @@
+package depot
+
+import (
+	"slices"
+	"strings"
+)
+
+// WithReload calls f with settings that come into force while the node runs;
+// the default does nothing.
+func WithReload(f func(*Settings)) Option {
+	return func(n *Node) { n.reload = f }
+}
+
+// Reload takes over settings while the node runs. What needs a restart stays as
+// it is and is reported.
+func (n *Node) Reload(s *Settings, cause string) {
+	var restart []string
+	for name, changed := range map[string]bool{
+		"vm":        s.vm != n.settings.vm,
+		"service":   s.service != n.settings.service,
+		"place":     s.place != n.settings.place,
+		"listen":    s.listen != n.settings.listen,
+		"upstream":  s.upstream != n.settings.upstream,
+		"transport": s.transport != n.settings.transport,
+		"policy":    s.policy != n.settings.policy,
+		"routes":    !slices.Equal(s.routes, n.settings.routes),
+	} {
+		if changed {
+			restart = append(restart, name)
+		}
+	}
+	slices.Sort(restart)
+	if n.reload != nil {
+		n.reload(s)
+	}
+	n.log.Info().Str("event", "settings-reloaded").Str("cause", cause).
+		Str("needs_restart", strings.Join(restart, ",")).Send()
+}
--- a/node/main.go
+++ b/node/main.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	go watchSettings(ctx, c.String("settings"), n, log)
 	if percent := s.HeapGrowth(); percent > 0 {
 		keepSmall(percent)
 	} else {
