--- a/node/reload.go
+++ b/node/reload.go
@@ -15,13 +15,21 @@
 // settingsCheck is how often the settings file is looked at without a signal.
 const settingsCheck = 2 * time.Second
 
+// hangup receives SIGHUP from before the settings are read to the very end of
+// the process: unhandled, the signal would end it in the middle of a planned
+// stop.
+var hangup = notifyHangup()
+
+func notifyHangup() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
 // watchSettings takes over a settings file that has changed, after SIGHUP or
 // without, until ctx ends. A file that cannot be used leaves the settings as
 // they are.
 func watchSettings(ctx context.Context, path string, n *depot.Node, log zerolog.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(settingsCheck)
 	defer ticker.Stop()
 	last, err := os.ReadFile(path)
