--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -187,7 +187,7 @@
 	o.call.Repeat = o.call.Repeat || err == nil && a.Reached || err != nil && sent
 	switch {
 	case err == nil:
-		pick.Target.End(millisSince(began), a.Status >= http.StatusInternalServerError)
+		s.note(now, pick.Target, a, millisSince(began))
 		if s.early {
 			pick.Target.SetLevel(now, levelOf(a))
 		}
@@ -212,6 +212,17 @@
 	}
 }
 
+// note learns from an answer: one of the upstream tells how it does, a refusal
+// by its node does not.
+func (s *sender) note(now clock.Millis, t *dispatch.Target, a *portage.Answer, span float64) {
+	if a.Outcome == portage.OutcomeNotRun && !a.Reached {
+		t.Refuse()
+		return
+	}
+	failed := a.Outcome != portage.OutcomeAnswered || a.Status >= http.StatusInternalServerError
+	t.End(now, span, failed)
+}
+
 // judge reads an answer of the owner: a call that did not run may go to
 // another owner.
 func (s *sender) judge(o *order, pick dispatch.Pick, a *portage.Answer) (*portage.Answer, next) {
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -177,6 +177,8 @@
 	refused bool
 	// usual is the mean duration of a run over all VMs, in milliseconds.
 	usual float64
+	// errors is the share of errors that every VM answers.
+	errors float64
 }
 
 // cost is the expected duration of the call on a VM, raised by the errors that
@@ -190,7 +192,21 @@
 		load = max(load, float64(t.InFlight()))
 	}
 	run := t.run(s.now, s.request.Kind, t.latencyOr(s.usual)) + 1
-	return t.wait(s.now) + run*(1+load*load)*(1+errorPenalty*t.errorShare())
+	excess := max(0, t.errorShare(s.now)-s.errors)
+	worth := max(float64(s.request.Target), run)
+	return t.wait(s.now) + run*(1+load*load) + errorPenalty*worth*excess
+}
+
+// usualErrors returns the least share of errors that a VM answers: those that
+// come from further down strike all VMs alike.
+func (p *plan) usualErrors(now clock.Millis) float64 {
+	least := 1.0
+	for _, tier := range p.tiers {
+		for _, c := range tier {
+			least = min(least, c.target.errorShare(now))
+		}
+	}
+	return least
 }
 
 // usualRun returns the mean duration of a run of a kind over all VMs.
@@ -211,6 +227,7 @@
 // are worth it, and for all when no VM is alive in the region.
 func (r *Router) search(p *plan, s *search) (Pick, bool) {
 	s.usual = p.usualRun(s.now, s.request.Kind)
+	s.errors = p.usualErrors(s.now)
 	var best *choice
 	var found Pick
 	for tier := range p.tiers {
@@ -304,7 +321,7 @@
 		s.refused = true
 		return false
 	}
-	return s.faulty || !t.faulty() || r.random(faultyProbe) == 0
+	return s.faulty || !t.faulty(s.now) || r.random(faultyProbe) == 0
 }
 
 // Address returns the address of a VM of a service, in whatever state it is.
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -80,7 +80,7 @@
 				for _, name := range all[:2] {
 					for range 10 {
 						r.Target(name).Begin()
-						r.Target(name).End(1, true)
+						r.Target(name).End(10, 1, true)
 					}
 				}
 			},
@@ -90,7 +90,7 @@
 			prepare: func(r *Router) {
 				for range 10 {
 					r.Target("kutch-a-1").Begin()
-					r.Target("kutch-a-1").End(1, true)
+					r.Target("kutch-a-1").End(10, 1, true)
 				}
 			},
 		},
@@ -150,7 +150,7 @@
 				if rapid.Bool().Draw(t, "failed") {
 					target.Fail(now)
 				} else {
-					target.End(1, rapid.Bool().Draw(t, "error"))
+					target.End(now, 1, rapid.Bool().Draw(t, "error"))
 				}
 			},
 			"leave": func(t *rapid.T) { r.Target(rapid.SampledFrom(names).Draw(t, "vm")).SetLeaving(now) },
@@ -228,13 +228,13 @@
 
 // TestPickAvoids sends calls to two VMs of which the second is worse.
 func TestPickAvoids(t *testing.T) {
-	good := func(target *Target) { target.End(10, false) }
+	good := func(now clock.Millis, target *Target) { target.End(now, 10, false) }
 	tests := []struct {
 		name string
-		bad  func(*Target)
+		bad  func(clock.Millis, *Target)
 	}{
-		{"ten times as long", func(target *Target) { target.End(100, false) }},
-		{"errors at once", func(target *Target) { target.End(0.1, true) }},
+		{"ten times as long", func(now clock.Millis, target *Target) { target.End(now, 100, false) }},
+		{"errors at once", func(now clock.Millis, target *Target) { target.End(now, 0.1, true) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -248,9 +248,9 @@
 				count[p.VM.Name()]++
 				p.Target.Begin()
 				if p.VM.Name() == "kutch-a-2" {
-					tt.bad(p.Target)
+					tt.bad(clock.Millis(n), p.Target)
 				} else {
-					good(p.Target)
+					good(clock.Millis(n), p.Target)
 				}
 			}
 			if got, limit := count["kutch-a-2"], 50; got > limit {
@@ -276,7 +276,7 @@
 				return
 			}
 			p.Target.Begin()
-			p.Target.End(1, false)
+			p.Target.End(0, 1, false)
 		}
 	})
 }
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -29,9 +29,11 @@
 	meanWeight = 0.2
 	// faultyShare is the share of errors above which a VM is left out.
 	faultyShare = 0.5
-	// errorPenalty is added to the factor of the cost of a VM that answers only
-	// errors.
-	errorPenalty = 8
+	// errorAge is the span after which an error share counts by a third only, in
+	// milliseconds.
+	errorAge clock.Millis = 3 * clock.Second
+	// errorPenalty is the part of a call's target time that an error costs.
+	errorPenalty = 2
 )
 
 // Target is what a node knows of one VM from its own traffic. It outlives
@@ -44,6 +46,8 @@
 	// errors holds the bits of the share of answers that report an error, from
 	// 0 to 1.
 	errors atomic.Uint64
+	// errorsAt is when errors was last changed.
+	errorsAt atomic.Int64
 	// failures counts failures in a row.
 	failures     atomic.Int64
 	ejectedUntil atomic.Int64
@@ -77,7 +81,7 @@
 
 // End notes an answer after a duration in milliseconds. An answer that reports
 // an error makes the VM less attractive than others, however fast it came.
-func (t *Target) End(duration float64, isError bool) {
+func (t *Target) End(now clock.Millis, duration float64, isError bool) {
 	t.inFlight.Add(-1)
 	t.failures.Store(0)
 	share := 0.0
@@ -86,16 +90,18 @@
 	} else {
 		blend(&t.latency, duration)
 	}
-	blend(&t.errors, share)
-	if !isError && t.faulty() {
+	known := t.errorShare(now)
+	t.errors.Store(math.Float64bits(known + meanWeight*(share-known)))
+	t.errorsAt.Store(int64(now))
+	if !isError && t.faulty(now) {
 		// One whole answer ends the exclusion; the next error brings it back.
 		t.errors.Store(math.Float64bits(faultyShare))
 	}
 }
 
 // faulty reports whether the VM answers mostly errors.
-func (t *Target) faulty() bool {
-	return math.Float64frombits(t.errors.Load()) > faultyShare
+func (t *Target) faulty(now clock.Millis) bool {
+	return t.errorShare(now) > faultyShare
 }
 
 // Fail notes a call without an answer. It says nothing of the duration.
@@ -111,6 +117,12 @@
 	mean.Store(math.Float64bits(old + meanWeight*(sample-old)))
 }
 
+// Refuse notes the end of a call that the VM's node refused.
+func (t *Target) Refuse() {
+	t.inFlight.Add(-1)
+	t.failures.Store(0)
+}
+
 // Abandon notes the end of a call that the caller gave up.
 func (t *Target) Abandon() { t.inFlight.Add(-1) }
 
@@ -170,8 +182,15 @@
 	return int64(now) >= next && t.nextProbe.CompareAndSwap(next, int64(now+levelProbe))
 }
 
-// errorShare returns the share of answers that report an error, from 0 to 1.
-func (t *Target) errorShare() float64 { return math.Float64frombits(t.errors.Load()) }
+// errorShare returns the share of answers that report an error, from 0 to 1. It
+// fades while the VM gets no calls, so that it is tried again.
+func (t *Target) errorShare(now clock.Millis) float64 {
+	share := math.Float64frombits(t.errors.Load())
+	if share == 0 {
+		return 0
+	}
+	return share * math.Exp(-float64(int64(now)-t.errorsAt.Load())/float64(errorAge))
+}
 
 // latencyOr returns the mean duration of a call, or usual when none ended yet,
 // in milliseconds.
