--- a/depot/owner.go
+++ b/depot/owner.go
@@ -24,6 +24,9 @@
 	// again, doubled up to againPauseLimit, in milliseconds.
 	againPause      clock.Millis = 4
 	againPauseLimit clock.Millis = 32
+	// lateParts is the tenths of its time that a run may take without being a
+	// sign that what it calls is overloaded.
+	lateParts = 8
 	// loadScale is the unit of a load in an answer.
 	loadScale = 1000
 )
@@ -243,7 +246,7 @@
 	o.runs.remove(id)
 	ended := o.clock.Now()
 	if o.origins != nil {
-		o.throttle.Note(ended, c.Group, failedRun(res))
+		o.throttle.Note(ended, c.Group, failedRun(res) || ended-now > (deadline-now)*lateParts/10)
 	}
 	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
 	o.metrics.run(res.Outcome, ended-now)
