--- a/depot/node.go
+++ b/depot/node.go
@@ -55,6 +55,8 @@
 	// routes is the configuration in force; nil before the first one, and
 	// without a Source.
 	routes atomic.Pointer[record.Configuration]
+	// stopping is set from the beginning of a planned stop.
+	stopping atomic.Bool
 	// closed is set when a planned stop takes no calls any more.
 	closed atomic.Bool
 	// listed is set once the VM's own upstream was in a list.
@@ -275,12 +277,15 @@
 	}
 }
 
-// stop leaves, waits for the work in flight and closes the ports.
+// stop keeps serving until callers have seen that the node is not ready, then
+// leaves, waits for the work in flight and closes the ports.
 func (n *Node) stop(peers net.Listener, callers []*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.stop.timeout())
 	defer cancel()
-	n.Drain()
+	n.stopping.Store(true)
+	n.log.Info().Str("event", "stopping").Str("vm", n.settings.vm).Send()
 	clock.Sleep(ctx, n.settings.stop.linger())
+	n.Drain()
 	n.closed.Store(true)
 	n.settle(ctx)
 	for _, s := range callers {
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -100,7 +100,7 @@
 	defaultStop = 11 * clock.Minute
 	// lingerPart of a stop is the time during which calls are still taken, and
 	// settlePart the time after which no call is in flight.
-	lingerPart = 0.45
+	lingerPart = 0.38
 	settlePart = 0.85
 )
 
--- a/depot/work.go
+++ b/depot/work.go
@@ -60,7 +60,7 @@
 func (n *Node) Configuration() *record.Configuration { return n.routes.Load() }
 
 // Leaving implements Carrier.
-func (n *Node) Leaving() bool { return n.owner.leaving.Load() }
+func (n *Node) Leaving() bool { return n.stopping.Load() || n.owner.leaving.Load() }
 
 // Closed implements Carrier.
 func (n *Node) Closed() bool { return n.closed.Load() }
