--- a/booking/desk_test.go
+++ b/booking/desk_test.go
@@ -64,7 +64,7 @@
 					s.running = append(s.running, c)
 				case VerdictQueued:
 					s.waiting = append(s.waiting, c)
-				case VerdictExpired, VerdictShed:
+				case VerdictExpired, VerdictShed, VerdictBusy:
 				}
 			},
 			"end": func(t *rapid.T) {
@@ -169,7 +169,7 @@
 					served[kind]++
 				case VerdictQueued:
 					waiting[c] = true
-				case VerdictExpired, VerdictShed:
+				case VerdictExpired, VerdictShed, VerdictBusy:
 				}
 			}
 		}
--- /dev/null
+++ b/booking/origins_test.go
@@ -0,0 +1,58 @@
+package booking
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestOrigins sends the calls of outside callers through the VMs of all
+// services and onward calls from those of one or two: only the latter are told
+// to be onward, whatever the sizes of the services.
+func TestOrigins(t *testing.T) {
+	even := map[string]int{"a": 6, "b": 6, "c": 6, "d": 6}
+	uneven := map[string]int{"a": 36, "b": 27, "c": 13, "d": 6}
+	tests := []struct {
+		name  string
+		sizes map[string]int
+		// calls is the number of calls that begin at each service.
+		calls map[string]int
+		want  bool
+	}{
+		{"outside callers", even, map[string]int{"a": 60, "b": 60, "c": 60, "d": 60}, false},
+		{"outside callers, uneven services", uneven, map[string]int{"a": 72, "b": 54, "c": 26, "d": 12}, false},
+		{"one service", even, map[string]int{"b": 200}, true},
+		{"two services", even, map[string]int{"a": 70, "b": 130}, true},
+		{"small service", uneven, map[string]int{"d": 100}, true},
+		{"too few to tell", even, map[string]int{"b": originMin - 1}, false},
+		{"none", even, nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var o Origins
+			o.Resize(tt.sizes)
+			for service, n := range tt.calls {
+				for range n {
+					o.Note("kind", service)
+				}
+			}
+			if got := o.Onward("kind"); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestOriginsBounded notes calls of any number of kinds.
+func TestOriginsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o Origins
+		for _, kind := range rapid.SliceOfN(rapid.String(), 0, 400).Draw(t, "kinds") {
+			o.Note(kind, "service")
+			o.Onward(kind)
+		}
+		if got := len(o.kinds); got > maxKinds {
+			t.Errorf("got %d kinds, want at most %d", got, maxKinds)
+		}
+	})
+}
--- /dev/null
+++ b/depot/adapter_test.go
@@ -0,0 +1,236 @@
+package depot
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+	"cuminhollow.example/standin/fleet"
+)
+
+// adapterStandIn connects a node to nothing: its source says what the test
+// says, and its upstream answers by a function.
+type adapterStandIn struct {
+	node *Node
+	sink chan Sink
+	run  func(ctx context.Context, c *portage.Call) RunResult
+	runs atomic.Int64
+	stop context.CancelFunc
+	done chan error
+}
+
+func (a *adapterStandIn) Follow(ctx context.Context, s Sink) error {
+	a.sink <- s
+	<-ctx.Done()
+	return nil
+}
+
+func (a *adapterStandIn) Run(ctx context.Context, c *portage.Call, _ string, _ clock.Millis) RunResult {
+	a.runs.Add(1)
+	return a.run(ctx, c)
+}
+
+func wholeAnswer(context.Context, *portage.Call) RunResult {
+	return RunResult{Outcome: portage.OutcomeAnswered, Reached: true, Status: http.StatusOK}
+}
+
+var (
+	safeWork   = record.NewPolicy("read", "desk", record.WithIdempotent(true), record.WithTries(2))
+	unsafeWork = record.NewPolicy("seal", "desk", record.WithTries(2))
+)
+
+// startAdapter starts a node of service desk with an upstream at a name.
+func startAdapter(t *testing.T, upstream string, more string) (*adapterStandIn, record.VM) {
+	t.Helper()
+	host := fleet.NewHost()
+	s, err := ParseSettings("test", fmt.Appendf(nil, `vm: %s
+service: desk
+region: kutch
+zone: kutch-a
+listen: {callers: %q, peers: %q, operators: %q}
+upstream: {address: %q}
+platform: ["127.0.0.1:1"]
+adapter: {name: test}
+transport: {plain: true}
+policy: {limit: fixed}
+%s
+`, upstream, host.Callers(), host.Peers(), host.Operators(), upstream+":1", more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &adapterStandIn{sink: make(chan Sink, 1), run: wholeAnswer, done: make(chan error, 1)}
+	a.node, err = New(s, WithSource(a), WithUpstream(a), WithFront(func(Carrier) http.Handler { return http.NotFoundHandler() }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	go func() { a.done <- a.node.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-a.done; err != nil {
+			t.Errorf("run: got %v, want nil", err)
+		}
+	})
+	<-a.sink
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if c, err := net.Dial("tcp", host.Peers()); err == nil {
+			_ = c.Close()
+			break
+		}
+	}
+	vm := record.NewVM(upstream, "kutch", "kutch-a", host.Peers(), record.StateLive).WithUpstream(upstream+":1", 8, 1)
+	return a, vm
+}
+
+func (a *adapterStandIn) list(vms ...record.VM) {
+	a.node.List([]*record.Roster{record.NewRoster("desk", vms)})
+}
+
+func (a *adapterStandIn) carry(p *record.Policy, n int) *portage.Answer {
+	return a.node.Carry(context.Background(), &Work{
+		ID: "id-" + strconv.Itoa(n), Policy: p, Left: 2 * clock.Second, Method: http.MethodPost, Path: "/",
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	a, _ := startAdapter(t, "u-1", "")
+	if a.node.Ready() {
+		t.Error("before the first configuration: got ready, want not")
+	}
+	for _, version := range []uint64{7, 9, 8, 7} {
+		a.node.Configure(record.NewConfiguration(version, nil, record.Limits{}))
+	}
+	if got, want := a.node.Configuration().Version(), uint64(9); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+	if !a.node.Ready() {
+		t.Error("with a configuration: got not ready, want ready")
+	}
+}
+
+// TestRefusingUpstream has an upstream that refuses most requests without
+// running them: calls are sent again within the bound on repeats, and what is
+// refused in the end has not run.
+func TestRefusingUpstream(t *testing.T) {
+	const calls, share, spare = 40, 0.5, 4
+	a, vm := startAdapter(t, "u-1", fmt.Sprintf("retries: {share: %g, spare: %d, window_s: 60}", share, spare))
+	a.list(vm)
+	var arrivals, ran atomic.Int64
+	a.run = func(ctx context.Context, c *portage.Call) RunResult {
+		if arrivals.Add(1)%2 == 1 {
+			return RunResult{Outcome: portage.OutcomeNotRun, Reached: true, Again: true, Reason: "refused"}
+		}
+		ran.Add(1)
+		return wholeAnswer(ctx, c)
+	}
+	answered := int64(0)
+	for n := range calls {
+		a := a.carry(unsafeWork, n)
+		if a.Outcome == portage.OutcomeUnknown {
+			t.Errorf("call %d: got unknown (%s), want an answer or not run", n, a.Reason)
+		}
+		if a.Outcome == portage.OutcomeAnswered {
+			answered++
+		}
+	}
+	if got := ran.Load(); got != answered {
+		t.Errorf("got %d runs for %d answers", got, answered)
+	}
+	if got, limit := arrivals.Load()-calls, int64(share*calls+spare); got < 1 || got > limit {
+		t.Errorf("got %d repeats, want 1 to %d", got, limit)
+	}
+}
+
+// TestLeavingUpstream marks the VM's own upstream as leaving, or takes it from
+// the list: it gets no new work, and does when it is back.
+func TestLeavingUpstream(t *testing.T) {
+	a, vm := startAdapter(t, "u-1", "")
+	entry, other := startAdapter(t, "u-2", "")
+	leaving := record.NewVM("u-1", "kutch", "kutch-a", vm.Address(), record.StateLeaving).WithUpstream("u-1:1", 8, 1)
+	entry.list(vm)
+	for _, step := range []struct {
+		name string
+		vms  []record.VM
+		want portage.Outcome
+	}{
+		{"listed", []record.VM{vm}, portage.OutcomeAnswered},
+		{"leaving", []record.VM{leaving}, portage.OutcomeNotRun},
+		{"back", []record.VM{vm}, portage.OutcomeAnswered},
+		{"gone", []record.VM{other}, portage.OutcomeNotRun},
+	} {
+		a.list(step.vms...)
+		entry.node.router.Target("u-1").Renew()
+		before := a.runs.Load()
+		if got := entry.carry(unsafeWork, 0).Outcome; got != step.want {
+			t.Errorf("%s: got %s, want %s", step.name, got, step.want)
+		}
+		if got := a.runs.Load() - before; (got > 0) != (step.want == portage.OutcomeAnswered) {
+			t.Errorf("%s: got %d runs", step.name, got)
+		}
+	}
+}
+
+// TestStopServesPeers stops a node: it is not ready at once, serves its peers
+// while its callers turn away, and then refuses what it does not run.
+func TestStopServesPeers(t *testing.T) {
+	a, vm := startAdapter(t, "u-1", "stop: {within_s: 4}")
+	entry, _ := startAdapter(t, "u-2", "")
+	entry.list(vm)
+	a.list(vm)
+	a.node.Configure(record.NewConfiguration(1, nil, record.Limits{}))
+	if got := entry.carry(safeWork, 0).Outcome; got != portage.OutcomeAnswered {
+		t.Fatalf("before the stop: got %s, want answered", got)
+	}
+	a.stop()
+	for end := time.Now().Add(5 * time.Second); a.node.Ready() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if a.node.Ready() {
+		t.Error("after the signal: got ready, want not")
+	}
+	if !a.node.Closed() {
+		if got := entry.carry(safeWork, 1).Outcome; got != portage.OutcomeAnswered && !a.node.Closed() {
+			t.Errorf("while callers turn away: got %s, want answered", got)
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); !a.node.Closed() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	before := a.runs.Load()
+	if got := entry.carry(unsafeWork, 2).Outcome; got != portage.OutcomeNotRun {
+		t.Errorf("afterwards: got %s, want not run", got)
+	}
+	if got := a.runs.Load() - before; got != 0 {
+		t.Errorf("afterwards: got %d runs, want none", got)
+	}
+}
+
+// TestReplacedNode lists a second VM at the address of the first, as after a
+// replacement: the same process serves both names, each call once.
+func TestReplacedNode(t *testing.T) {
+	a, vm := startAdapter(t, "u-1", "")
+	entry, _ := startAdapter(t, "u-2", "")
+	renamed := record.NewVM("u-9", "kutch", "kutch-a", vm.Address(), record.StateLive).WithUpstream("u-1:1", 8, 2)
+	a.run = func(_ context.Context, c *portage.Call) RunResult {
+		return RunResult{Outcome: portage.OutcomeAnswered, Reached: true, Status: http.StatusOK, Body: []byte(c.Request)}
+	}
+	for n := range 40 {
+		entry.list([]record.VM{vm, renamed}[n%2])
+		answer := entry.carry(unsafeWork, n)
+		if got, want := string(answer.Body), "id-"+strconv.Itoa(n); got != want {
+			t.Fatalf("got the answer of %q, want that of %q", got, want)
+		}
+	}
+	if got, want := a.runs.Load(), int64(40); got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -60,10 +60,11 @@
 
 // sender sends orders to owners and decides on retries.
 type sender struct {
-	clock   clock.Clock
-	router  *dispatch.Router
-	peers   *peers
-	metrics *metrics
+	decisions *decisions
+	clock     clock.Clock
+	router    *dispatch.Router
+	peers     *peers
+	metrics   *metrics
 	// perHop makes each hop retry up to its record's tries without a common
 	// bound. It is a baseline for measurements.
 	perHop bool
@@ -95,10 +96,11 @@
 // non-idempotent work twice and the account of the run pays for it.
 func (s *sender) send(o *order) *portage.Answer {
 	for {
-		a, n := s.try(o)
+		a, pick, n := s.try(o)
 		if !s.goOn(o, n) {
 			return a
 		}
+		s.decisions.passedOn(o, a, pick, n)
 	}
 }
 
@@ -128,10 +130,10 @@
 }
 
 // try makes one attempt.
-func (s *sender) try(o *order) (*portage.Answer, next) {
+func (s *sender) try(o *order) (*portage.Answer, dispatch.Pick, next) {
 	now := s.clock.Now()
 	if now >= o.run.deadline {
-		return notRun(reasonExpired, 0), nextNone
+		return notRun(reasonExpired, 0), dispatch.Pick{}, nextNone
 	}
 	pick, err := s.router.Pick(now, dispatch.Request{
 		Service: o.service,
@@ -141,7 +143,7 @@
 		Avoid:   o.avoid,
 	})
 	if err != nil {
-		return notRun(pickReason(err), 0), nextNone
+		return notRun(pickReason(err), 0), dispatch.Pick{}, nextNone
 	}
 	name := pick.VM.Name()
 	o.call.VM = name
@@ -155,7 +157,7 @@
 	} else {
 		o.avoid = append(o.avoid, name)
 	}
-	return a, n
+	return a, pick, n
 }
 
 // patience returns how long the owner may queue the call, in milliseconds: no
--- /dev/null
+++ b/depot/decisions.go
@@ -0,0 +1,84 @@
+package depot
+
+import (
+	"sync/atomic"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/portage"
+	"github.com/rs/zerolog"
+)
+
+// sampleSuccess is the number of ordinary successes of which one is logged.
+const sampleSuccess = 32
+
+// decisions logs what is decided about requests: one line each, with the
+// request's id, what decided it, and the outcome. The zero value logs nothing.
+type decisions struct {
+	log zerolog.Logger
+	// successes counts the ordinary successes.
+	successes atomic.Uint64
+}
+
+// success returns the event of an ordinary success; nil, which logs nothing,
+// for all but a sample.
+func (d *decisions) success() *zerolog.Event {
+	if d.successes.Add(1)%sampleSuccess != 0 {
+		return nil
+	}
+	return d.log.Debug()
+}
+
+// answered notes what a caller was told. Version is that of the routes.
+func (d *decisions) answered(o *order, a *portage.Answer, took clock.Millis, version uint64) {
+	var e *zerolog.Event
+	late := o.target > 0 && took > o.target
+	switch {
+	case a.Outcome != portage.OutcomeAnswered || a.Status >= 500 || late:
+		e = d.log.Info()
+	default:
+		e = d.success()
+	}
+	e.Str("event", "answered").Str("id", o.call.Request).Str("kind", o.call.Kind).
+		Str("service", o.service).Str("vm", o.call.VM).
+		Stringer("outcome", a.Outcome).Str("reason", a.Reason).Int("status", a.Status).
+		Int64("took_ms", int64(took)).Int64("target_ms", int64(o.target)).
+		Int("tries", o.tries).Int("moves", o.moves).Uint64("version", version).Send()
+}
+
+// passedOn notes that a call goes on to another VM, or to the same one again.
+func (d *decisions) passedOn(o *order, a *portage.Answer, pick dispatch.Pick, n next) {
+	event := "moved"
+	if n == nextRetry {
+		event = "retried"
+	}
+	d.log.Info().Str("event", event).Str("id", o.call.Request).Str("kind", o.call.Kind).
+		Str("vm", pick.VM.Name()).Stringer("outcome", a.Outcome).Str("reason", a.Reason).
+		Int64("wait_ms", a.WaitMS).Int("load", a.Load).
+		Float64("cost_ms", float64(int(pick.Cost))).Int64("patience_ms", o.call.PatienceMS).
+		Int("tries", o.tries).Send()
+}
+
+// refused notes that this VM did not take a call.
+func (d *decisions) refused(c *portage.Call, reason string, now, deadline clock.Millis, s booking.Stats) {
+	d.log.Info().Str("event", "refused").Str("id", c.Request).Str("kind", c.Kind).
+		Str("vm", c.VM).Str("origin", c.Origin).Str("reason", reason).
+		Int64("left_ms", int64(deadline-now)).Int64("patience_ms", c.PatienceMS).
+		Int("running", s.Running).Int("limit", s.Limit).Int("waiting", s.Waiting).
+		Float64("mean_ms", float64(int(s.Mean))).Send()
+}
+
+// ran notes the end of a run on the upstream.
+func (d *decisions) ran(c *portage.Call, r RunResult, queued, ran, left clock.Millis) {
+	var e *zerolog.Event
+	if failedRun(r) || r.Outcome == portage.OutcomeNotRun {
+		e = d.log.Info()
+	} else {
+		e = d.success()
+	}
+	e.Str("event", "ran").Str("id", c.Request).Str("kind", c.Kind).Str("vm", c.VM).
+		Str("origin", c.Origin).Stringer("outcome", r.Outcome).Str("reason", r.Reason).
+		Int("status", r.Status).Int64("queued_ms", int64(queued)).Int64("ran_ms", int64(ran)).
+		Int64("left_ms", int64(left)).Bool("repeat", c.Repeat).Send()
+}
--- a/depot/node.go
+++ b/depot/node.go
@@ -45,13 +45,15 @@
 	log      zerolog.Logger
 	metrics  *metrics
 	book     *record.Book
-	router   *dispatch.Router
-	peers    *peers
-	owner    *owner
-	entry    *entry
-	spread   *spread
-	server   *portage.Server
-	ready    atomic.Bool
+	// decisions logs what is decided about requests.
+	decisions *decisions
+	router    *dispatch.Router
+	peers     *peers
+	owner     *owner
+	entry     *entry
+	spread    *spread
+	server    *portage.Server
+	ready     atomic.Bool
 	// routes is the configuration in force; nil before the first one, and
 	// without a Source.
 	routes atomic.Pointer[record.Configuration]
@@ -145,21 +147,23 @@
 func (n *Node) build() {
 	s := n.settings
 	runs := new(runTable)
+	n.decisions = &decisions{log: n.log}
 	throttle := booking.NewThrottle(rand.Float64)
 	n.book = record.NewBook(n.clock)
 	n.router = dispatch.NewRouter(s.vm, s.place)
 	hello := portage.Hello{VM: s.vm, Incarnation: n.incarnation}
 	n.peers = newPeers(n.clock, hello, n.router, n.linkOpts)
 	n.owner = &owner{
-		clock:    n.clock,
-		table:    claim.NewTable(s.vm, n.incarnation, n.clock, answerSize),
-		desk:     booking.NewDesk(s.upstream.Slots, s.policy.desk()...),
-		upstream: n.upstream,
-		runs:     runs,
-		throttle: throttle,
-		early:    s.policy.early(),
-		metrics:  n.metrics,
-		repeats:  s.retries.repeats(),
+		decisions: n.decisions,
+		clock:     n.clock,
+		table:     claim.NewTable(s.vm, n.incarnation, n.clock, answerSize),
+		desk:      booking.NewDesk(s.upstream.Slots, s.policy.desk()...),
+		upstream:  n.upstream,
+		runs:      runs,
+		throttle:  throttle,
+		early:     s.policy.early(),
+		metrics:   n.metrics,
+		repeats:   s.retries.repeats(),
 	}
 	if n.source != nil {
 		n.owner.origins = new(booking.Origins)
@@ -168,13 +172,14 @@
 		clock: n.clock,
 		book:  n.book,
 		sender: &sender{
-			clock:   n.clock,
-			router:  n.router,
-			peers:   n.peers,
-			metrics: n.metrics,
-			perHop:  s.policy.perHop(),
-			early:   s.policy.early(),
-			grace:   s.adapter.Grace,
+			decisions: n.decisions,
+			clock:     n.clock,
+			router:    n.router,
+			peers:     n.peers,
+			metrics:   n.metrics,
+			perHop:    s.policy.perHop(),
+			early:     s.policy.early(),
+			grace:     s.adapter.Grace,
 		},
 		runs:     runs,
 		metrics:  n.metrics,
@@ -217,9 +222,9 @@
 	operators := n.serveHTTP(g, listeners.operators, n.operators())
 	var callers []*http.Server
 	if n.source != nil {
-		callers = n.serveSource(g, gctx, listeners)
+		callers = n.serveSource(gctx, g, listeners)
 	} else {
-		callers = n.serveRecords(g, ctx, gctx, listeners)
+		callers = n.serveRecords(ctx, gctx, g, listeners)
 	}
 	select {
 	case <-ctx.Done():
@@ -235,7 +240,7 @@
 
 // serveRecords serves the product's own HTTP interface by the records and
 // rosters that nodes exchange.
-func (n *Node) serveRecords(g *errgroup.Group, start, ctx context.Context, l *listeners) []*http.Server {
+func (n *Node) serveRecords(start, ctx context.Context, g *errgroup.Group, l *listeners) []*http.Server {
 	n.spread.bootstrap(start)
 	mux := http.NewServeMux()
 	mux.HandleFunc(TicketPath, n.entry.tickets)
@@ -249,7 +254,7 @@
 }
 
 // serveSource serves an adapter's interface by what its source tells.
-func (n *Node) serveSource(g *errgroup.Group, ctx context.Context, l *listeners) []*http.Server {
+func (n *Node) serveSource(ctx context.Context, g *errgroup.Group, l *listeners) []*http.Server {
 	g.Go(func() error { return n.source.Follow(ctx, n) })
 	servers := []*http.Server{n.serveHTTP(g, l.callers, n.front(n))}
 	if l.ready != nil {
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -33,13 +33,14 @@
 
 // owner admits the calls of peers and runs them on the upstream.
 type owner struct {
-	clock    clock.Clock
-	table    *claim.Table[*portage.Answer]
-	desk     *booking.Desk
-	upstream Upstream
-	runs     *runTable
-	throttle *booking.Throttle
-	metrics  *metrics
+	decisions *decisions
+	clock     clock.Clock
+	table     *claim.Table[*portage.Answer]
+	desk      *booking.Desk
+	upstream  Upstream
+	runs      *runTable
+	throttle  *booking.Throttle
+	metrics   *metrics
 	// origins tells which kinds are onward calls where those do not name their
 	// run; nil where they do.
 	origins *booking.Origins
@@ -158,11 +159,12 @@
 	o.inWork.Add(1)
 	defer o.inWork.Add(-1)
 	if o.leaving.Load() || o.closed.Load() {
-		return notRun(reasonLeaving, c.Grant)
+		return o.refuse(c, reasonLeaving, deadline)
 	}
 	class, onward := o.class(c)
-	if o.early && !onward && !o.throttle.Admit(o.clock.Now(), c.Group) {
-		return notRun(reasonOnward, c.Grant)
+	arrived := o.clock.Now()
+	if o.early && !onward && !o.throttle.Admit(arrived, c.Group) {
+		return o.refuse(c, reasonOnward, deadline)
 	}
 	b := booking.NewCall(class, c.Group, c.Caller, deadline)
 	if c.PatienceMS >= 0 {
@@ -175,14 +177,20 @@
 	o.metrics.verdict(v)
 	switch v {
 	case booking.VerdictStart:
-		return o.start(ctx, c, b, deadline)
+		return o.start(ctx, c, b, arrived, deadline)
 	case booking.VerdictExpired:
-		return notRun(reasonExpired, c.Grant)
+		return o.refuse(c, reasonExpired, deadline)
 	case booking.VerdictBusy:
-		return notRun(reasonBusy, c.Grant)
+		return o.refuse(c, reasonBusy, deadline)
 	case booking.VerdictShed, booking.VerdictQueued:
 	}
-	return notRun(reasonOverload, c.Grant)
+	return o.refuse(c, reasonOverload, deadline)
+}
+
+// refuse answers that a call did not run and will not.
+func (o *owner) refuse(c *portage.Call, reason string, deadline clock.Millis) *portage.Answer {
+	o.decisions.refused(c, reason, o.clock.Now(), deadline, o.desk.Stats())
+	return notRun(reason, c.Grant)
 }
 
 // class returns the class of a call and whether it is an onward call of work
@@ -218,11 +226,11 @@
 }
 
 // start runs a call that has a slot.
-func (o *owner) start(ctx context.Context, c *portage.Call, b *booking.Call, deadline clock.Millis) *portage.Answer {
+func (o *owner) start(ctx context.Context, c *portage.Call, b *booking.Call, arrived, deadline clock.Millis) *portage.Answer {
 	now := o.clock.Now()
 	if now >= deadline || ctx.Err() != nil {
 		o.desk.Done(now, b, booking.ResultCancelled)
-		return notRun(reasonExpired, c.Grant)
+		return o.refuse(c, reasonExpired, deadline)
 	}
 	limit := deadline
 	if c.Ticket != "" {
@@ -250,6 +258,7 @@
 	}
 	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
 	o.metrics.run(res.Outcome, ended-now)
+	o.decisions.ran(c, res, now-arrived, ended-now, deadline-ended)
 	return &portage.Answer{
 		Outcome: res.Outcome,
 		Reason:  res.Reason,
--- a/depot/work.go
+++ b/depot/work.go
@@ -50,8 +50,14 @@
 func (n *Node) Carry(ctx context.Context, w *Work) *portage.Answer {
 	n.entry.inWork.Add(1)
 	defer n.entry.inWork.Add(-1)
+	began := n.clock.Now()
 	o := n.entry.order(ctx, w)
 	a := n.entry.sender.send(o)
+	version := uint64(0)
+	if c := n.routes.Load(); c != nil {
+		version = c.Version()
+	}
+	n.decisions.answered(o, a, n.clock.Now()-began, version)
 	n.metrics.outcome(w.Policy.Name(), a.Outcome, a.Reason)
 	return a
 }
--- a/node/log.go
+++ b/node/log.go
@@ -5,7 +5,6 @@
 	"io"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -16,7 +15,7 @@
 	return zerolog.ConsoleWriter{
 		Out:         out,
 		NoColor:     true,
-		TimeFormat:  time.RFC3339Nano,
+		TimeFormat:  timeFormat,
 		PartsOrder:  []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
 		FieldsOrder: []string{"event"},
 		FormatLevel: func(v any) string { return "level=" + fmt.Sprint(v) },
@@ -33,6 +32,9 @@
 // quoted quotes a value that would otherwise not read as one word.
 func quoted(v any) string {
 	text := fmt.Sprint(v)
+	if b, ok := v.([]byte); ok {
+		text = string(b)
+	}
 	if text == "" || strings.ContainsAny(text, " \t\n\"=") && !isQuoted(text) {
 		return strconv.Quote(text)
 	}
--- a/node/main.go
+++ b/node/main.go
@@ -21,6 +21,9 @@
 // version is set by the build.
 var version = "dev"
 
+// timeFormat keeps the times of lines comparable to the millisecond.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -61,7 +64,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	log := zerolog.New(newLineWriter(os.Stderr)).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = timeFormat
+	log := zerolog.New(newOutput(os.Stdout)).With().Timestamp().Logger()
+	log.Info().Str("event", "start").Str("version", version).Str("vm", s.VM()).Str("service", s.Service()).Send()
 	opts := []depot.Option{depot.WithLogger(log)}
 	if s.Adapter().Name == platform.Name {
 		opts = append(opts, platform.Options(s, log)...)
