--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -161,11 +161,11 @@
 }
 
 // patience returns how long the owner may queue the call, in milliseconds: no
-// longer than the way to the next best VM costs, unless the call has been
-// there or cannot move any more.
+// longer than the way to the next best VM costs, and 0 for no bound when the
+// call has been there or cannot move any more.
 func (s *sender) patience(o *order, pick dispatch.Pick) int64 {
 	if o.moves >= maxMoves || pick.Spare > maxSpare || slices.Contains(o.busy, pick.VM.Name()) {
-		return -1
+		return 0
 	}
 	return int64(pick.Spare) + patienceMin
 }
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -167,7 +167,7 @@
 		return o.refuse(c, reasonOnward, deadline)
 	}
 	b := booking.NewCall(class, c.Group, c.Caller, deadline)
-	if c.PatienceMS >= 0 {
+	if c.PatienceMS > 0 {
 		b.SetPatience(clock.Millis(c.PatienceMS))
 	}
 	v := o.desk.Admit(o.clock.Now(), b)
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -245,11 +247,15 @@
 		for _, p := range record.YAMLProblems(err) {
 			c.fail(p.Line, "%s", p.Reason)
 		}
+		var values *yaml.TypeError
+		if !errors.As(err, &values) {
+			// What follows a syntax error was not read: nothing is known of it.
+			return nil, c.err()
+		}
 	}
 	c.check(&f)
 	if len(c.faults) > 0 {
-		err := errors.New(strings.Join(c.faults, "\n"))
-		return nil, &Error{Op: "check settings", Kind: KindSettings, Err: err}
+		return nil, c.err()
 	}
 	if f.Callers.Identity == "" {
 		f.Callers.Identity = identityAddress
@@ -281,6 +287,12 @@
 	faults []string
 }
 
+// err returns all faults as one error.
+func (c *settingsCheck) err() error {
+	err := errors.New(strings.Join(c.faults, "\n"))
+	return &Error{Op: "check settings", Kind: KindSettings, Err: err}
+}
+
 func (c *settingsCheck) fail(line int, format string, args ...any) {
 	fault := fmt.Sprintf("%s:%d: %s", c.name, line, fmt.Sprintf(format, args...))
 	if !slices.Contains(c.faults, fault) {
@@ -313,6 +325,9 @@
 	c.required("zone", f.Zone)
 	c.ports(f)
 	c.address("upstream", "address", f.Upstream.Address)
+	if host, _, err := net.SplitHostPort(f.Upstream.Address); err == nil && net.ParseIP(host) == nil {
+		c.fail(c.line("upstream", "address"), "upstream.address %q must have an IP address", f.Upstream.Address)
+	}
 	if f.Adapter.Name == "" {
 		c.positive("slots", f.Upstream.Slots)
 		c.positive("connections", f.Upstream.Connections)
@@ -331,6 +346,7 @@
 		c.address("", "seeds", a)
 	}
 	c.oneOf("callers", "identity", f.Callers.Identity, identityAddress, identityHeader)
+	c.retries(f)
 	c.oneOf("policy", "queue", f.Policy.Queue, queueRanked, queueFIFO)
 	c.oneOf("policy", "limit", f.Policy.Limit, limitAdaptive, limitFixed)
 	c.oneOf("policy", "retries", f.Policy.Retries, retriesBudget, retriesPerHop)
@@ -340,11 +356,17 @@
 }
 
 func (c *settingsCheck) required(key, value string) {
-	if value == "" {
+	switch {
+	case value == "":
 		c.fail(c.line("", key), "%s is missing", key)
+	case !settingName.MatchString(value):
+		c.fail(c.line("", key), "%s %q must be 1 to 63 letters, digits, dots, dashes or underscores", key, value)
 	}
 }
 
+// settingName is what names in settings look like.
+var settingName = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
+
 func (c *settingsCheck) positive(key string, value int) {
 	if value < 1 {
 		c.fail(c.line("upstream", key), "upstream.%s must be 1 or more", key)
@@ -395,6 +417,26 @@
 	}
 }
 
+// retries checks what bounds repeats, stops and memory.
+func (c *settingsCheck) retries(f *settingsFile) {
+	r := f.Retries
+	if r.Share < 0 || r.Share > 1 || r.Spare < 0 || r.Window < 0 {
+		c.fail(c.line("", "retries"), "retries needs a share from 0 to 1, and spare and window_s of 0 or more")
+	}
+	if f.Stop.Within < 0 {
+		c.fail(c.line("stop", "within_s"), "stop.within_s must be 0 or more")
+	}
+	if f.HeapGrowth < 0 || f.HeapGrowth > maxHeapGrowth {
+		c.fail(c.line("", "heap_growth_percent"), "heap_growth_percent must be 0 to %d", maxHeapGrowth)
+	}
+	if a := f.Adapter; a.Name != "" && (a.PeerPort < 0 || a.PeerPort > 65535 || a.Grace < 0) {
+		c.fail(c.line("", "adapter"), "adapter needs a peer_port up to 65535 and an answer_grace_ms of 0 or more")
+	}
+}
+
+// maxHeapGrowth is the largest growth of the heap, in percent.
+const maxHeapGrowth = 1000
+
 func (c *settingsCheck) transport(f *settingsFile) {
 	t := f.Transport
 	files := t.Certificate != "" && t.Key != "" && t.Authority != ""
@@ -408,10 +450,18 @@
 	}
 }
 
+// methods are the methods that a route may have.
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
 func (c *settingsCheck) routes(f *settingsFile) {
 	for i, r := range f.Routes {
 		if r.Method == "" || !strings.HasPrefix(r.Prefix, "/") || r.Kind == "" {
 			c.fail(c.line("", "routes"), "route %d needs a method, a prefix that starts with / and a kind", i+1)
+		} else if !slices.Contains(methods, r.Method) {
+			c.fail(c.line("", "routes"), "route %d: method %q is not one of HTTP", i+1, r.Method)
 		}
 	}
 }
--- a/portage/message.go
+++ b/portage/message.go
@@ -108,7 +108,7 @@
 	// TimeLeftMS is the time until the deadline, in milliseconds.
 	TimeLeftMS int64
 	// PatienceMS is the longest wait for a slot with which the call is not
-	// better sent elsewhere, in milliseconds; negative for no bound.
+	// better sent elsewhere, in milliseconds; 0 for no bound.
 	PatienceMS int64
 	// Repeat tells that an earlier try of the call reached an upstream.
 	Repeat bool
