depot: tell the wait of the class in which an onward call is queued

Cause: the wait told to entries was that of the caller's class, which all onward calls come before: at a full moisture office it was told fifty times too long (wait_ms=4277 with 20 waiting), so that calls left the region or waited for the wrong VM. The test fails without it: 62 ms told for 2.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
 	"cuminhollow.example/portage"
 	"cuminhollow.example/record"
@@ -236,3 +237,41 @@
 		t.Errorf("got %d runs, want %d", got, want)
 	}
 }
+
+// TestOutlookOfOnwardCalls fills the upstream with onward calls: the wait that
+// such a call has to expect is that of the class in which it is queued, not
+// that of the work which they all come before.
+func TestOutlookOfOnwardCalls(t *testing.T) {
+	a, vm := startAdapter(t, "u-1", "")
+	a.list(vm)
+	o := a.node.owner
+	o.origins.Resize(map[string]int{"desk": 1, "other": 1, "third": 1})
+	c := &portage.Call{Request: "id", Kind: "read", Group: "read", Class: 9, Origin: "other"}
+	for range 50 {
+		o.origins.Note(c.Kind, c.Origin)
+	}
+	class, onward := o.class(c)
+	if !onward {
+		t.Fatal("got no onward call, want one")
+	}
+	var now clock.Millis
+	for range 100 {
+		b := booking.NewCall(class, c.Group, "", now+clock.Hour)
+		o.desk.Admit(now, b)
+		now += 10
+		o.desk.Done(now, b, booking.ResultOK)
+	}
+	for range vm.Slots() {
+		o.desk.Admit(now, booking.NewCall(class, c.Group, "", now+clock.Hour))
+	}
+	view := o.desk.Outlook(now, class, c.Kind)
+	o.clock = fixedClock(now)
+	if got, limit := o.reply(c, notRun(reasonBusy, 0)).WaitMS, int64(view.Wait)+1; got > limit {
+		t.Errorf("got a wait of %d ms, want at most %d", got, limit)
+	}
+}
+
+// fixedClock always tells the same time.
+type fixedClock clock.Millis
+
+func (c fixedClock) Now() clock.Millis { return clock.Millis(c) }
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -79,7 +79,8 @@
 	out.Request = c.Request
 	now := o.clock.Now()
 	out.Level = uint8(o.desk.Level(now))
-	view := o.desk.Outlook(now, booking.Class(min(c.Class, booking.Classes-1)), c.Kind)
+	class, _ := o.class(c)
+	view := o.desk.Outlook(now, class, c.Kind)
 	out.WaitMS, out.RunMS = int64(view.Wait), int64(view.Run)
 	out.Load = int(view.Load * loadScale)
 	return &out
@@ -161,6 +162,9 @@
 	if o.leaving.Load() || o.closed.Load() {
 		return o.refuse(c, reasonLeaving, deadline)
 	}
+	if o.origins != nil {
+		o.origins.Note(c.Kind, c.Origin)
+	}
 	class, onward := o.class(c)
 	arrived := o.clock.Now()
 	if o.early && !onward && !o.throttle.Admit(arrived, c.Group) {
@@ -201,7 +205,6 @@
 	if o.origins == nil {
 		return class, false
 	}
-	o.origins.Note(c.Kind, c.Origin)
 	if !o.origins.Onward(c.Kind) {
 		return class, false
 	}
