cuminhollow: trace and why read the logs of nodes

trace ID puts the lines of a request and of the calls below it in order and says in a sentence why it ended so; why counts refusals, failures and late answers by cause. Answers after a retry are always logged.

--- a/cuminhollow/main.go
+++ b/cuminhollow/main.go
@@ -61,6 +61,14 @@
 			report("audit", "show which changes the nodes saw", "", audit),
 			report("rollout", "show how many nodes hold which revision", "[KEY]", rollout),
 			report("drain", "make nodes take no new work", "", drain),
+			{
+				Name: "trace", Usage: "tell from logs why a request ended as it did",
+				ArgsUsage: "ID [FILE...]", Flags: []cli.Flag{output}, Action: traceRequest,
+			},
+			{
+				Name: "why", Usage: "count refusals, failures and late answers in logs by their cause",
+				ArgsUsage: "[FILE...]", Flags: []cli.Flag{output}, Action: why,
+			},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				_, err := fmt.Fprintln(out, version)
 				return err
--- /dev/null
+++ b/cuminhollow/trace.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+// The events of a request in the logs.
+const (
+	eventAnswered = "answered"
+	eventRan      = "ran"
+	eventRefused  = "refused"
+	eventMoved    = "moved"
+	eventRetried  = "retried"
+)
+
+// story is all that the logs tell of one request and its onward calls.
+type story struct {
+	ID    string  `json:"id"`
+	Cause string  `json:"cause"`
+	Lines []*line `json:"lines"`
+}
+
+// traceRequest prints the lines of a request in order and why it ended so.
+func traceRequest(_ context.Context, c *cli.Command) error {
+	id := c.Args().First()
+	if id == "" {
+		return trace.BadParameter("which request? give its id, then files with logs")
+	}
+	s := story{ID: id}
+	err := readLines(c, c.Args().Tail(), func(l *line) {
+		if l.ID == id || strings.HasPrefix(l.ID, id+".") {
+			s.Lines = append(s.Lines, l)
+		}
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if len(s.Lines) == 0 {
+		return trace.NotFound("no line of request %q in these logs", id)
+	}
+	s.sort()
+	s.Cause = s.explain(id)
+	t := &table{head: []string{"TIME", "EVENT", "CALL", "VM", "OUTCOME", "REASON", "DETAIL"}}
+	for _, l := range s.Lines {
+		t.add(l.Time.Format("15:04:05.000"), l.Event, s.call(l), l.Fields["vm"], l.Fields["outcome"], l.Fields["reason"], detail(l))
+	}
+	if err := show(c, s, t); err != nil {
+		return err
+	}
+	if c.String("output") == outputTable {
+		_, err = fmt.Fprintln(c.Root().Writer, "\n"+s.Cause)
+	}
+	return trace.Wrap(err)
+}
+
+// order is the place of an event among those of one call: clocks of VMs differ,
+// but a call is answered last.
+func order(event string) int {
+	switch event {
+	case eventAnswered:
+		return 2
+	case eventMoved, eventRetried:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// sort orders the lines by time, and those of one call that are less than the
+// clocks' difference apart by what must come first.
+func (s *story) sort() {
+	const clocksDiffer = 50 // milliseconds
+	slices.SortStableFunc(s.Lines, func(a, b *line) int {
+		return a.Time.Compare(b.Time)
+	})
+	for i := 1; i < len(s.Lines); i++ {
+		for j := i; j > 0; j-- {
+			a, b := s.Lines[j-1], s.Lines[j]
+			near := b.Time.Sub(a.Time).Milliseconds() < clocksDiffer
+			if a.ID != b.ID || !near || order(a.Event) <= order(b.Event) {
+				break
+			}
+			s.Lines[j-1], s.Lines[j] = b, a
+		}
+	}
+}
+
+// call shows the kind of a line's call, indented by its depth.
+func (s *story) call(l *line) string {
+	depth := strings.Count(strings.TrimPrefix(l.ID, s.ID), ".")
+	return strings.Repeat("  ", depth) + l.Fields["kind"]
+}
+
+// detail shows what decided an event.
+func detail(l *line) string {
+	switch l.Event {
+	case eventAnswered:
+		return fmt.Sprintf("status %s after %s ms of %s, %s tries", l.Fields["status"], l.Fields["took_ms"], l.Fields["target_ms"], l.Fields["tries"])
+	case eventRan:
+		return fmt.Sprintf("status %s, queued %s ms, ran %s ms, %s ms left", l.Fields["status"], l.Fields["queued_ms"], l.Fields["ran_ms"], l.Fields["left_ms"])
+	case eventRefused:
+		return fmt.Sprintf("%s of %s slots in use, %s waiting, mean run %s ms, %s ms left", l.Fields["running"], l.Fields["limit"], l.Fields["waiting"], l.Fields["mean_ms"], l.Fields["left_ms"])
+	default:
+		return fmt.Sprintf("told wait %s ms", l.Fields["wait_ms"])
+	}
+}
+
+// last returns the last line of a call with one of the events; nil for none.
+func (s *story) last(id string, events ...string) *line {
+	for _, l := range slices.Backward(s.Lines) {
+		if l.ID == id && slices.Contains(events, l.Event) {
+			return l
+		}
+	}
+	return nil
+}
+
+// explain says in a sentence why a call ended as it did.
+func (s *story) explain(id string) string {
+	a := s.last(id, eventAnswered)
+	if a == nil {
+		return "No line tells how it ended: of ordinary successes only a sample is logged, or the log of its entry is missing."
+	}
+	switch a.Fields["outcome"] {
+	case "not-run":
+		return s.explainRefusal(id, a)
+	case "unknown":
+		return s.explainUnknown(id, a)
+	}
+	late := a.number("took_ms") > a.number("target_ms")
+	switch status := a.number("status"); {
+	case status >= 500:
+		return s.explainBelow(id, fmt.Sprintf("The upstream on %s answered %d", a.Fields["vm"], status))
+	case late:
+		return s.explainBelow(id, fmt.Sprintf("It was answered after %d ms, later than its target of %d ms", a.number("took_ms"), a.number("target_ms")))
+	default:
+		return fmt.Sprintf("It was answered with %d in good time.", status)
+	}
+}
+
+func (s *story) explainRefusal(id string, a *line) string {
+	where := a.Fields["vm"]
+	if r := s.last(id, eventRefused); r != nil {
+		where = fmt.Sprintf("%s (%s)", r.Fields["vm"], detail(r))
+	}
+	switch reason := a.Fields["reason"]; reason {
+	case "onward-overload":
+		return "It did not run: calls that such work makes further down were failing or too slow, as " + where + " had seen."
+	case "overload", "busy":
+		return "It did not run: no slot would have been free in time at " + where + "."
+	case "expired":
+		return "It did not run: its time was over before a slot was free at " + where + "."
+	case "leaving":
+		return "It did not run: the VMs that were asked are leaving."
+	case "no-vm":
+		return "It did not run: no VM of service " + a.Fields["service"] + " takes work."
+	default:
+		return fmt.Sprintf("It did not run: %s at %s.", reason, where)
+	}
+}
+
+func (s *story) explainUnknown(id string, a *line) string {
+	r := s.last(id, eventRan)
+	if r == nil {
+		return fmt.Sprintf("It may have run: the connection to the node of %s was lost, or that VM's log is missing (%s).", a.Fields["vm"], a.Fields["reason"])
+	}
+	if r.Fields["outcome"] == eventAnswered {
+		return s.explainBelow(id, fmt.Sprintf("The upstream on %s answered %d after %d ms, when the caller's time was over", r.Fields["vm"], r.number("status"), r.number("ran_ms")))
+	}
+	if r.Fields["reason"] == "timeout" {
+		return s.explainBelow(id, fmt.Sprintf("It may have run: the upstream on %s had not answered when its time was over, after %d ms", r.Fields["vm"], r.number("ran_ms")))
+	}
+	return fmt.Sprintf("It ran, or part of it did: the upstream on %s broke the connection off after %d ms (%s).", r.Fields["vm"], r.number("ran_ms"), r.Fields["reason"])
+}
+
+// explainBelow adds what the onward calls of a call tell: the last that failed,
+// or the slowest.
+func (s *story) explainBelow(id, what string) string {
+	var worst *line
+	for _, l := range s.Lines {
+		if l.Event != eventAnswered || !isChild(id, l.ID) {
+			continue
+		}
+		if worst == nil || cmp.Or(cmp.Compare(failed(l), failed(worst)), cmp.Compare(l.number("took_ms"), worst.number("took_ms"))) > 0 {
+			worst = l
+		}
+	}
+	if worst == nil {
+		return what + "; the logs have no line of a call that it made."
+	}
+	return fmt.Sprintf("%s; its call of kind %s took %d ms: %s", what, worst.Fields["kind"], worst.number("took_ms"), s.explain(worst.ID))
+}
+
+// failed is 1 for the end of a call that brought no whole answer.
+func failed(l *line) int {
+	if l.Fields["outcome"] != eventAnswered || l.number("status") >= 500 {
+		return 1
+	}
+	return 0
+}
+
+// isChild reports whether a call was made by the run of another one.
+func isChild(parent, id string) bool {
+	rest, ok := strings.CutPrefix(id, parent+".")
+	return ok && !strings.Contains(rest, ".")
+}
--- /dev/null
+++ b/cuminhollow/why.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+// ending counts the requests of a kind that ended in one way.
+type ending struct {
+	Kind    string `json:"kind"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Status  int    `json:"status"`
+	Count   int    `json:"count"`
+	// Example is the id of one of them.
+	Example string `json:"example"`
+}
+
+// why counts refusals, failures and late answers by their cause.
+func why(_ context.Context, c *cli.Command) error {
+	found := make(map[ending]*ending)
+	err := readLines(c, c.Args().Slice(), func(l *line) {
+		if l.Event != eventAnswered {
+			return
+		}
+		key := ending{Kind: l.Fields["kind"], Outcome: l.Fields["outcome"], Reason: l.Fields["reason"], Status: l.number("status")}
+		late := l.number("took_ms") > l.number("target_ms")
+		if failed(l) == 0 {
+			if !late {
+				return
+			}
+			key.Reason = "late"
+		}
+		e := found[key]
+		if e == nil {
+			copied := key
+			e = &copied
+			found[key] = e
+		}
+		e.Count++
+		e.Example = l.ID
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	endings := make([]*ending, 0, len(found))
+	for _, e := range found {
+		endings = append(endings, e)
+	}
+	slices.SortFunc(endings, func(a, b *ending) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Reason, b.Reason))
+	})
+	t := &table{head: []string{"COUNT", "KIND", "OUTCOME", "REASON", "STATUS", "EXAMPLE"}}
+	for _, e := range endings {
+		t.add(e.Count, e.Kind, e.Outcome, e.Reason, e.Status, e.Example)
+	}
+	return show(c, endings, t)
+}
--- a/depot/decisions.go
+++ b/depot/decisions.go
@@ -1,6 +1,7 @@
 package depot
 
 import (
+	"net/http"
 	"sync/atomic"
 
 	"cuminhollow.example/booking"
@@ -35,7 +36,7 @@
 	var e *zerolog.Event
 	late := o.target > 0 && took > o.target
 	switch {
-	case a.Outcome != portage.OutcomeAnswered || a.Status >= 500 || late:
+	case a.Outcome != portage.OutcomeAnswered || a.Status >= http.StatusInternalServerError || late || o.tries > 1:
 		e = d.log.Info()
 	default:
 		e = d.success()
