--- a/node/output.go
+++ b/node/output.go
@@ -33,12 +33,14 @@
 func newOutput(out io.Writer) *output {
 	o := &output{
 		lines: make(chan []byte, lineQueue),
-		limit: rate.NewLimiter(linesPerSecond, linesBurst),
+		limit: newLimiter(),
 	}
 	go o.run(out)
 	return o
 }
 
+func newLimiter() *rate.Limiter { return rate.NewLimiter(linesPerSecond, linesBurst) }
+
 // Write implements io.Writer.
 func (o *output) Write(line []byte) (int, error) { return o.WriteLevel(zerolog.InfoLevel, line) }
 
