--- /dev/null
+++ b/depot/settings_retry.go
@@ -0,0 +1,42 @@
+package depot
+
+import (
+	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
+)
+
+// retrySettings bound what reaches the upstreams of a service again, beside
+// each request's tries. The zero value bounds it to a tenth.
+type retrySettings struct {
+	// Share is the repeats for each first request of a window, and Spare the
+	// number beyond, over all VMs of the service.
+	Share float64 `yaml:"share"`
+	Spare float64 `yaml:"spare"`
+	// Window is the span of a window, in seconds; 0 for the default.
+	Window float64 `yaml:"window_s"`
+}
+
+const (
+	defaultRepeatShare               = 0.1
+	defaultRepeatSpare               = 10
+	defaultRepeatWindow clock.Millis = 10 * clock.Second
+	// repeatMargin is the part of what the settings allow that is used: calls
+	// that a repeated run makes count as repeats too, and are not known as such.
+	repeatMargin = 0.9
+)
+
+func (r retrySettings) repeats() *ledger.Repeats {
+	if r.Window <= 0 {
+		return ledger.NewRepeats(defaultRepeatShare, defaultRepeatSpare, defaultRepeatWindow)
+	}
+	window := clock.Millis(r.Window * float64(clock.Second))
+	return ledger.NewRepeats(repeatMargin*r.Share, r.spareOf(1), window)
+}
+
+// spareOf returns the spare repeats of one of n VMs.
+func (r retrySettings) spareOf(n int) float64 {
+	if r.Window <= 0 {
+		return defaultRepeatSpare
+	}
+	return repeatMargin * r.Spare / float64(max(n, 1))
+}
