--- a/ledger/repeats.go
+++ b/ledger/repeats.go
@@ -17,8 +17,9 @@
 	share  float64
 	spare  float64
 	window clock.Millis
-	// slots is a ring over two windows; last is the number of its newest slot.
-	slots [2 * repeatSlots]repeatSlot
+	// slots is a ring over a window and the slot before it; last is the number of
+	// its newest slot.
+	slots [repeatSlots + 1]repeatSlot
 	last  int64
 }
 
@@ -46,24 +47,21 @@
 	r.slot(now).first++
 }
 
-// Take asks for one repeat and reports whether it is allowed.
+// Take asks for one repeat and reports whether it is allowed. The slot that lies
+// partly before the window counts for the repeats only.
 func (r *Repeats) Take(now clock.Millis) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.slot(now)
-	first, before, again := 0.0, 0.0, 0.0
-	for i := range int64(len(r.slots)) {
-		of := r.slots[(r.last-i+int64(len(r.slots))*2)%int64(len(r.slots))]
-		if i <= repeatSlots {
-			again += of.again
-		}
-		if i < repeatSlots {
-			first += of.first
-		} else {
-			before += of.first
+	oldest := (r.last + 1) % int64(len(r.slots))
+	first, again := 0.0, 0.0
+	for i := range r.slots {
+		again += r.slots[i].again
+		if int64(i) != oldest {
+			first += r.slots[i].first
 		}
 	}
-	if again+1 > r.share*max(first, before)+r.spare {
+	if again+1 > r.share*first+r.spare {
 		return false
 	}
 	s.again++
--- a/ledger/repeats_test.go
+++ b/ledger/repeats_test.go
@@ -9,14 +9,23 @@
 )
 
 // TestRepeatsNeverExceed plays random first requests, repeats and pauses: in no
-// span of a window are there more repeats than the share of the first requests
-// of that window, or of the one before it, and the spare ones.
+// window that ends with a repeat are there more repeats than the share of the
+// first requests of that window and the spare ones.
 func TestRepeatsNeverExceed(t *testing.T) {
 	const share, spare, window = 0.2, 3, clock.Millis(1000)
 	rapid.Check(t, func(t *rapid.T) {
 		r := NewRepeats(share, spare, window)
 		now := clock.Millis(0)
 		var first, again []clock.Millis
+		count := func(of []clock.Millis) float64 {
+			n := 0.0
+			for _, at := range of {
+				if at > now-window {
+					n++
+				}
+			}
+			return n
+		}
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now += clock.Millis(rapid.IntRange(0, 120).Draw(t, "pause"))
 			for range rapid.IntRange(0, 10).Draw(t, "first") {
@@ -24,24 +33,13 @@
 				first = append(first, now)
 			}
 			for range rapid.IntRange(0, 10).Draw(t, "again") {
-				if r.Take(now) {
-					again = append(again, now)
+				if !r.Take(now) {
+					continue
 				}
-			}
-			count := func(of []clock.Millis, from clock.Millis) float64 {
-				n := 0.0
-				for _, at := range of {
-					if at > from && at <= from+window {
-						n++
-					}
+				again = append(again, now)
+				if got, limit := count(again), share*count(first)+spare; got > limit {
+					t.Fatalf("at %d: got %.0f repeats in a window, want at most %.1f", now, got, limit)
 				}
-				return n
-			}
-			// Slots make the spans of first requests differ by one slot.
-			slack := share * count(first, now-2*window-window/repeatSlots)
-			limit := share*max(count(first, now-window), count(first, now-2*window)) + spare + slack
-			if got := count(again, now-window); got > limit {
-				t.Fatalf("at %d: got %.0f repeats in a window, want at most %.1f", now, got, limit)
 			}
 		}
 	})
@@ -51,7 +49,7 @@
 	r := NewRepeats(0.1, 2, 1000)
 	taken := func(now clock.Millis) int {
 		n := 0
-		for r.Take(now) {
+		for n < 1000 && r.Take(now) {
 			n++
 		}
 		return n
