depot, dispatch, standin: files by subject; node: the last lines of the log are written

Moves only, but for two: the log's writer is flushed at the end of the process (TestHangup failed once: the line 'stopped' was lost), and options of the retry bucket that nothing used are gone.

--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -5,15 +5,11 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"cuminhollow.example/booking"
-	"cuminhollow.example/claim"
 	"cuminhollow.example/clock"
 	"cuminhollow.example/dispatch"
-	"cuminhollow.example/ledger"
 	"cuminhollow.example/portage"
 )
 
@@ -36,49 +32,6 @@
 	maxSpare = 10_000
 )
 
-// order is a call on its way to an owner.
-type order struct {
-	run  *run
-	call portage.Call
-	// service runs the work.
-	service    string
-	idempotent bool
-	// target is the time within which the answer is of full use.
-	target clock.Millis
-	// avoid names the VMs that were tried.
-	avoid []string
-	// moves counts the refusals by owners whose upstream was not reached.
-	moves int
-	// busy names the VMs that would have queued the call for too long.
-	busy []string
-	// ticket is that of the last attempt; zero for idempotent work.
-	ticket claim.Ticket
-	// tries counts the attempts; maxTries is that of the kind's record.
-	tries    int
-	maxTries int
-}
-
-// sender sends orders to owners and decides on retries.
-type sender struct {
-	decisions *decisions
-	clock     clock.Clock
-	router    *dispatch.Router
-	peers     *peers
-	metrics   *metrics
-	// perHop makes each hop retry up to its record's tries without a common
-	// bound. It is a baseline for measurements.
-	perHop bool
-	// early makes the node heed the admission levels of owners.
-	early bool
-	// grace is how long after its deadline the answer of a call is still
-	// awaited, in milliseconds.
-	grace clock.Millis
-	// retries are the options of the buckets, which hold a *ledger.Bucket for
-	// each service.
-	retries []ledger.BucketOption
-	buckets sync.Map
-}
-
 // next says how an order goes on after an attempt.
 type next uint8
 
@@ -92,92 +45,6 @@
 	nextRetry
 )
 
-// send carries out an order. It tries another owner only while that cannot run
-// non-idempotent work twice and the account of the run pays for it.
-func (s *sender) send(o *order) *portage.Answer {
-	for {
-		a, pick, n := s.try(o)
-		if !s.goOn(o, n) {
-			return a
-		}
-		s.decisions.passedOn(o, a, pick, n)
-	}
-}
-
-// goOn reports whether the order gets another attempt, and pays for it.
-func (s *sender) goOn(o *order, n next) bool {
-	if n == nextNone || o.run.ctx.Err() != nil || s.clock.Now() >= o.run.deadline {
-		return false
-	}
-	if n == nextMove && o.moves < maxMoves {
-		o.moves++
-		return true
-	}
-	if s.perHop {
-		o.avoid = nil
-		return o.tries < o.maxTries
-	}
-	return s.bucket(o.service).Retry() && o.run.account.Spend()
-}
-
-// bucket returns what pays for retries at a service.
-func (s *sender) bucket(service string) *ledger.Bucket {
-	if b, ok := s.buckets.Load(service); ok {
-		return b.(*ledger.Bucket)
-	}
-	b, _ := s.buckets.LoadOrStore(service, ledger.NewBucket(s.retries...))
-	return b.(*ledger.Bucket)
-}
-
-// try makes one attempt.
-func (s *sender) try(o *order) (*portage.Answer, dispatch.Pick, next) {
-	now := s.clock.Now()
-	if now >= o.run.deadline {
-		return notRun(reasonExpired, 0), dispatch.Pick{}, nextNone
-	}
-	pick, err := s.router.Pick(now, dispatch.Request{
-		Service: o.service,
-		Class:   o.run.class,
-		Kind:    o.call.Kind,
-		Target:  o.target,
-		Avoid:   o.avoid,
-	})
-	if err != nil {
-		return notRun(pickReason(err), 0), dispatch.Pick{}, nextNone
-	}
-	name := pick.VM.Name()
-	o.call.VM = name
-	o.call.PatienceMS = s.patience(o, pick)
-	if o.tries++; o.tries == 1 {
-		s.bucket(o.service).Fresh()
-	}
-	a, n := s.sendTo(o, pick)
-	if a.Reason == reasonBusy {
-		o.busy = append(o.busy, name)
-	} else {
-		o.avoid = append(o.avoid, name)
-	}
-	return a, pick, n
-}
-
-// patience returns how long the owner may queue the call, in milliseconds: no
-// longer than the way to the next best VM costs, and 0 for no bound when the
-// call has been there or cannot move any more.
-func (s *sender) patience(o *order, pick dispatch.Pick) int64 {
-	if o.moves >= maxMoves || pick.Spare > maxSpare || slices.Contains(o.busy, pick.VM.Name()) {
-		return 0
-	}
-	return int64(pick.Spare) + patienceMin
-}
-
-func pickReason(err error) string {
-	var e *dispatch.Error
-	if errors.As(err, &e) && e.Kind == dispatch.KindOverload {
-		return reasonOverload
-	}
-	return reasonNoVM
-}
-
 func (s *sender) sendTo(o *order, pick dispatch.Pick) (*portage.Answer, next) {
 	p := s.peers.get(pick.VM.Name(), pick.VM.Address())
 	ctx, cancel := withDeadline(o.run.ctx, s.clock, o.run.deadline+s.grace)
--- /dev/null
+++ b/depot/owner_run.go
@@ -0,0 +1,98 @@
+package depot
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
+	"cuminhollow.example/portage"
+	"github.com/google/uuid"
+)
+
+// start runs a call that has a slot.
+func (o *owner) start(ctx context.Context, c *portage.Call, b *booking.Call, arrived, deadline clock.Millis) *portage.Answer {
+	now := o.clock.Now()
+	if now >= deadline || ctx.Err() != nil {
+		o.desk.Done(now, b, booking.ResultCancelled)
+		return o.refuse(c, reasonExpired, deadline)
+	}
+	limit := deadline
+	if c.Ticket != "" {
+		limit += outcomeGrace
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := withDeadline(ctx, o.clock, limit)
+	defer cancel()
+	id := uuid.NewString()
+	account := ledger.NewAccount(c.Grant)
+	o.runs.add(id, &run{
+		ctx:      ctx,
+		request:  c.Request,
+		class:    booking.Class(c.Class),
+		group:    c.Group,
+		caller:   c.Caller,
+		deadline: deadline,
+		account:  account,
+	})
+	res := o.run(ctx, c, id, deadline)
+	o.runs.remove(id)
+	ended := o.clock.Now()
+	if o.origins != nil {
+		o.throttle.Note(ended, c.Group, failedRun(res) || ended-now > (deadline-now)*lateParts/10)
+	}
+	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
+	o.metrics.run(res.Outcome, ended-now)
+	o.decisions.ran(c, res, now-arrived, ended-now, deadline-ended)
+	return &portage.Answer{
+		Outcome: res.Outcome,
+		Reason:  res.Reason,
+		Reached: res.Reached,
+		Status:  res.Status,
+		Header:  res.Header,
+		Body:    res.Body,
+		Sum:     portage.Checksum(res.Body),
+		Unspent: account.Close(),
+	}
+}
+
+// run sends a call to the upstream, and again as long as the upstream refuses it
+// and the bound on repeats allows.
+func (o *owner) run(ctx context.Context, c *portage.Call, id string, deadline clock.Millis) RunResult {
+	if c.Repeat {
+		if !o.repeats.Take(o.clock.Now()) {
+			return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonTries}
+		}
+	} else {
+		o.repeats.First(o.clock.Now())
+	}
+	for pause := againPause; ; pause = min(2*pause, againPauseLimit) {
+		res := o.upstream.Run(ctx, c, id, deadline-o.clock.Now())
+		if !res.Again || ctx.Err() != nil || o.clock.Now()+againPauseLimit >= deadline || !o.repeats.Take(o.clock.Now()) {
+			return res
+		}
+		clock.Sleep(ctx, pause.Duration())
+	}
+}
+
+// failedRun reports whether a run ended without what the caller wanted, which
+// most often is for an onward call that failed.
+func failedRun(r RunResult) bool {
+	return r.Outcome == portage.OutcomeUnknown || r.Outcome == portage.OutcomeAnswered && r.Status >= http.StatusInternalServerError
+}
+
+// resultOf classifies the end of a run for the concurrency limit.
+func resultOf(ctx context.Context, res RunResult, late bool) booking.Result {
+	switch {
+	case res.Outcome == portage.OutcomeAnswered && !late:
+		return booking.ResultOK
+	case res.Reason == reasonOverload || late:
+		return booking.ResultOverload
+	case errors.Is(ctx.Err(), context.Canceled):
+		return booking.ResultCancelled
+	default:
+		return booking.ResultFailed
+	}
+}
--- /dev/null
+++ b/depot/sender.go
@@ -0,0 +1,117 @@
+package depot
+
+import (
+	"errors"
+	"slices"
+	"sync"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/ledger"
+	"cuminhollow.example/portage"
+)
+
+// sender sends orders to owners and decides on retries.
+type sender struct {
+	decisions *decisions
+	clock     clock.Clock
+	router    *dispatch.Router
+	peers     *peers
+	metrics   *metrics
+	// perHop makes each hop retry up to its record's tries without a common
+	// bound. It is a baseline for measurements.
+	perHop bool
+	// early makes the node heed the admission levels of owners.
+	early bool
+	// grace is how long after its deadline the answer of a call is still
+	// awaited, in milliseconds.
+	grace clock.Millis
+	// buckets holds a *ledger.Bucket for each service.
+	buckets sync.Map
+}
+
+// send carries out an order. It tries another owner only while that cannot run
+// non-idempotent work twice and the account of the run pays for it.
+func (s *sender) send(o *order) *portage.Answer {
+	for {
+		a, pick, n := s.try(o)
+		if !s.goOn(o, n) {
+			return a
+		}
+		s.decisions.passedOn(o, a, pick, n)
+	}
+}
+
+// goOn reports whether the order gets another attempt, and pays for it.
+func (s *sender) goOn(o *order, n next) bool {
+	if n == nextNone || o.run.ctx.Err() != nil || s.clock.Now() >= o.run.deadline {
+		return false
+	}
+	if n == nextMove && o.moves < maxMoves {
+		o.moves++
+		return true
+	}
+	if s.perHop {
+		o.avoid = nil
+		return o.tries < o.maxTries
+	}
+	return s.bucket(o.service).Retry() && o.run.account.Spend()
+}
+
+// bucket returns what pays for retries at a service.
+func (s *sender) bucket(service string) *ledger.Bucket {
+	if b, ok := s.buckets.Load(service); ok {
+		return b.(*ledger.Bucket)
+	}
+	b, _ := s.buckets.LoadOrStore(service, ledger.NewBucket())
+	return b.(*ledger.Bucket)
+}
+
+// try makes one attempt.
+func (s *sender) try(o *order) (*portage.Answer, dispatch.Pick, next) {
+	now := s.clock.Now()
+	if now >= o.run.deadline {
+		return notRun(reasonExpired, 0), dispatch.Pick{}, nextNone
+	}
+	pick, err := s.router.Pick(now, dispatch.Request{
+		Service: o.service,
+		Class:   o.run.class,
+		Kind:    o.call.Kind,
+		Target:  o.target,
+		Avoid:   o.avoid,
+	})
+	if err != nil {
+		return notRun(pickReason(err), 0), dispatch.Pick{}, nextNone
+	}
+	name := pick.VM.Name()
+	o.call.VM = name
+	o.call.PatienceMS = s.patience(o, pick)
+	if o.tries++; o.tries == 1 {
+		s.bucket(o.service).Fresh()
+	}
+	a, n := s.sendTo(o, pick)
+	if a.Reason == reasonBusy {
+		o.busy = append(o.busy, name)
+	} else {
+		o.avoid = append(o.avoid, name)
+	}
+	return a, pick, n
+}
+
+// patience returns how long the owner may queue the call, in milliseconds: no
+// longer than the way to the next best VM costs, and 0 for no bound when the
+// call has been there or cannot move any more.
+func (s *sender) patience(o *order, pick dispatch.Pick) int64 {
+	if o.moves >= maxMoves || pick.Spare > maxSpare || slices.Contains(o.busy, pick.VM.Name()) {
+		return 0
+	}
+	return int64(pick.Spare) + patienceMin
+}
+
+func pickReason(err error) string {
+	var e *dispatch.Error
+	if errors.As(err, &e) && e.Kind == dispatch.KindOverload {
+		return reasonOverload
+	}
+	return reasonNoVM
+}
--- /dev/null
+++ b/dispatch/search.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"slices"
+
+	"cuminhollow.example/booking"
+	"cuminhollow.example/clock"
+)
+
+// search is one look for a VM.
+type search struct {
+	now     clock.Millis
+	request Request
+	// faulty admits VMs that answer mostly errors.
+	faulty bool
+	// refused is set when a VM was passed over because it refuses the class.
+	refused bool
+	// usual is the mean duration of a run over all VMs, in milliseconds.
+	usual float64
+	// errors is the share of errors that every VM answers.
+	errors float64
+}
+
+// cost is the expected duration of the call on a VM, raised by the errors that
+// the VM answers and by the use of its slots, in milliseconds.
+func (s *search) cost(c *choice) float64 {
+	t := c.target
+	load := t.load(s.now)
+	if slots := c.vm.Slots(); slots > 0 {
+		load = max(load, float64(t.InFlight())/float64(slots))
+	} else {
+		load = max(load, float64(t.InFlight()))
+	}
+	run := t.run(s.now, s.request.Kind, t.latencyOr(s.usual)) + 1
+	excess := max(0, t.errorShare(s.now)-s.errors)
+	worth := max(float64(s.request.Target), run)
+	return t.wait(s.now) + run*(1+load*load) + errorPenalty*worth*excess
+}
+
+// search takes the cheapest VM of all tiers. The far tier is for classes that
+// are worth it, and for all when no VM is alive in the region.
+func (r *Router) search(p *plan, s *search) (Pick, bool) {
+	s.usual = p.usualRun(s.now, s.request.Kind)
+	s.errors = p.usualErrors(s.now)
+	var best *choice
+	var found Pick
+	for tier := range p.tiers {
+		if Tier(tier) == TierFar && !mayLeaveRegion(s.request.Class) && p.aliveNear(s.now) {
+			break
+		}
+		c := r.pickIn(p.tiers[tier], s)
+		if c == nil {
+			continue
+		}
+		cost := tierCost(Tier(tier), s.request.Target) + s.cost(c)
+		switch {
+		case best == nil:
+			found = Pick{Cost: cost, Spare: unlimited}
+		case cost < found.Cost:
+			found = Pick{Cost: cost, Spare: found.Cost - cost}
+		default:
+			found.Spare = min(found.Spare, cost-found.Cost)
+			continue
+		}
+		best = c
+		found.VM, found.Target, found.Tier = c.vm, c.target, Tier(tier)
+	}
+	return found, best != nil
+}
+
+// usualErrors returns the least share of errors that a VM answers: those that
+// come from further down strike all VMs alike.
+func (p *plan) usualErrors(now clock.Millis) float64 {
+	least := 1.0
+	for _, tier := range p.tiers {
+		for _, c := range tier {
+			least = min(least, c.target.errorShare(now))
+		}
+	}
+	return least
+}
+
+// usualRun returns the mean duration of a run of a kind over all VMs.
+func (p *plan) usualRun(now clock.Millis, kind string) float64 {
+	sum, n := 0.0, 0
+	for _, tier := range p.tiers {
+		for _, c := range tier {
+			if run := c.target.run(now, kind, c.target.latencyOr(0)); run > 0 {
+				sum += run
+				n++
+			}
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
+// aliveNear reports whether a VM of the node's own region takes work.
+func (p *plan) aliveNear(now clock.Millis) bool {
+	for _, tier := range p.tiers[:TierFar] {
+		for _, c := range tier {
+			if !c.target.Leaving(now) && !c.target.Ejected(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayLeaveRegion reports whether a class is worth the links between regions
+// when the service has VMs nearer by.
+func mayLeaveRegion(c booking.Class) bool {
+	return c.Protected() || c.Rank() <= farRank
+}
+
+// pickIn takes the cheapest of a few choices, or of two random ones of many, or
+// any other when neither is usable; nil when none is.
+func (r *Router) pickIn(choices []choice, s *search) *choice {
+	n := len(choices)
+	if n == 0 {
+		return nil
+	}
+	if n <= scanSize {
+		return r.cheapest(choices, s)
+	}
+	first := r.random(n)
+	second := (first + 1 + r.random(n-1)) % n
+	if c := r.cheapest([]choice{choices[first], choices[second]}, s); c != nil {
+		return c
+	}
+	return r.cheapest(choices, s)
+}
+
+// cheapest scans the choices from a random start.
+func (r *Router) cheapest(choices []choice, s *search) *choice {
+	start := r.random(len(choices))
+	var best *choice
+	least := 0.0
+	for i := range choices {
+		c := &choices[(start+i)%len(choices)]
+		if !r.usable(c, s) {
+			continue
+		}
+		if cost := s.cost(c); best == nil || cost < least {
+			best, least = c, cost
+		}
+	}
+	return best
+}
+
+// usable reports whether c takes the call. Now and then a call tests a VM that
+// answers mostly errors.
+func (r *Router) usable(c *choice, s *search) bool {
+	if slices.Contains(s.request.Avoid, c.vm.Name()) {
+		return false
+	}
+	t := c.target
+	if t.Leaving(s.now) || t.Ejected(s.now) {
+		return false
+	}
+	if t.refuses(s.now, s.request.Class) && !t.probe(s.now) {
+		s.refused = true
+		return false
+	}
+	return s.faulty || !t.faulty(s.now) || r.random(faultyProbe) == 0
+}
--- a/node/main.go
+++ b/node/main.go
@@ -65,7 +65,9 @@
 		return trace.Wrap(err)
 	}
 	zerolog.TimeFieldFormat = timeFormat
-	log := zerolog.New(newOutput(os.Stdout)).With().Timestamp().Logger()
+	out := newOutput(os.Stdout)
+	defer out.flush()
+	log := zerolog.New(out).With().Timestamp().Logger()
 	log.Info().Str("event", "start").Str("version", version).Str("vm", s.VM()).Str("service", s.Service()).Send()
 	opts := []depot.Option{depot.WithLogger(log)}
 	if s.Adapter().Name == platform.Name {
--- a/node/output.go
+++ b/node/output.go
@@ -18,6 +18,8 @@
 	lineQueue = 256
 	// dropReport is how often the lines left out are counted in the log.
 	dropReport = time.Second
+	// flushTimeout bounds the wait for the output at the end of the process.
+	flushTimeout = 200 * time.Millisecond
 )
 
 // output writes lines without ever holding up the caller: what exceeds the
@@ -27,6 +29,9 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Uint64
+	// last receives a channel that is closed when the lines before it are
+	// written.
+	last chan chan struct{}
 }
 
 // newOutput starts to write to out.
@@ -34,6 +39,7 @@
 	o := &output{
 		lines: make(chan []byte, lineQueue),
 		limit: newLimiter(),
+		last:  make(chan chan struct{}),
 	}
 	go o.run(out)
 	return o
@@ -59,6 +65,34 @@
 	return len(line), nil
 }
 
+// flush writes what waits, for at most flushTimeout: the last lines of a process
+// are those that tell why it ended.
+func (o *output) flush() {
+	done := make(chan struct{})
+	timeout := time.After(flushTimeout)
+	select {
+	case o.last <- done:
+	case <-timeout:
+		return
+	}
+	select {
+	case <-done:
+	case <-timeout:
+	}
+}
+
+// writeWaiting writes the lines that wait.
+func (o *output) writeWaiting(w io.Writer) {
+	for {
+		select {
+		case line := <-o.lines:
+			_, _ = w.Write(line)
+		default:
+			return
+		}
+	}
+}
+
 // run formats and writes the lines.
 func (o *output) run(out io.Writer) {
 	w := newLineWriter(out)
@@ -70,6 +104,9 @@
 		case line := <-o.lines:
 			// There is nowhere to report that the log cannot be written.
 			_, _ = w.Write(line)
+		case done := <-o.last:
+			o.writeWaiting(w)
+			close(done)
 		case <-ticker.C:
 			if n := o.dropped.Swap(0); n > 0 {
 				log.Warn().Str("event", "log-dropped").Uint64("lines", n).Send()
--- /dev/null
+++ b/standin/fleet/vm.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// VM is one VM of a deployment with its upstream and its node.
+type VM struct {
+	Name    string
+	Service string
+	Place   Place
+	// PeerAddress is the address that the roster lists.
+	PeerAddress string
+	// CallerAddress, OnwardAddress and OperatorAddress are ports of the node.
+	CallerAddress, OnwardAddress, OperatorAddress string
+	UpstreamAddress                               string
+	Node, Upstream                                *Process
+
+	state    string
+	listen   string
+	settings string
+}
+
+func (f *Fleet) newVM(s Service, i int, place Place) (*VM, error) {
+	host := NewHost()
+	v := &VM{
+		Name:            fmt.Sprintf("%s-%d", s.Name, i+1),
+		Service:         s.Name,
+		Place:           place,
+		PeerAddress:     host.Relay(),
+		CallerAddress:   host.Callers(),
+		OnwardAddress:   host.Onward(),
+		OperatorAddress: host.Operators(),
+		UpstreamAddress: host.Upstream(),
+		state:           "live",
+		listen:          host.Peers(),
+	}
+	if f.plan.Direct {
+		v.PeerAddress = v.listen
+		return v, nil
+	}
+	relay, err := newRelay(v.PeerAddress, v.listen)
+	if err != nil {
+		return nil, err
+	}
+	f.relays = append(f.relays, relay)
+	return v, nil
+}
+
+func (f *Fleet) startVM(v *VM) error {
+	var service Service
+	for _, s := range f.plan.Services {
+		if s.Name == v.Service {
+			service = s
+		}
+	}
+	args := []string{
+		"--listen", v.UpstreamAddress,
+		"--node", v.OnwardAddress,
+		"--slots", fmt.Sprint(service.Slots),
+		"--service-time", service.ServiceTime.String(),
+		"--loss", fmt.Sprint(service.Loss),
+	}
+	for _, kind := range service.Onward {
+		args = append(args, "--onward", kind)
+	}
+	var err error
+	v.Upstream, err = start(filepath.Join(f.bin, "upstream"), filepath.Join(f.dir, v.Name+"-upstream.log"), args...)
+	if err != nil {
+		return err
+	}
+	v.settings = filepath.Join(f.dir, v.Name+".yaml")
+	if err := os.WriteFile(v.settings, []byte(f.settingsOf(v, service)), 0o600); err != nil {
+		return err
+	}
+	v.Node, err = start(filepath.Join(f.bin, "node"), filepath.Join(f.dir, v.Name+".log"), "run", "--settings", v.settings)
+	return err
+}
+
+func (f *Fleet) settingsOf(v *VM, s Service) string {
+	text := fmt.Sprintf(`vm: %s
+service: %s
+region: %s
+zone: %s
+listen:
+  callers: %s
+  upstream: %s
+  peers: %s
+  operators: %s
+upstream:
+  address: %s
+  slots: %d
+  connections: %d
+platform: [%q]
+callers:
+  identity: header
+transport:
+  plain: true
+`, v.Name, v.Service, v.Place.Region, v.Place.Zone, v.CallerAddress, v.OnwardAddress, v.listen,
+		v.OperatorAddress, v.UpstreamAddress, s.Slots, s.Slots*connectionsPerSlot, f.PlatformAddress)
+	if len(f.plan.Policy) > 0 {
+		text += "policy:\n  " + strings.Join(f.plan.Policy, "\n  ") + "\n"
+	}
+	return text
+}
+
+// SetState changes the state of a VM in the next roster.
+func (v *VM) SetState(state string) { v.state = state }
