--- a/caller/caller.go
+++ b/caller/caller.go
@@ -7,8 +7,8 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -78,7 +78,7 @@
 	fault := &Error{Op: "do", Kind: KindNotRun, Ticket: ticket}
 	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
 		entry := c.entry()
-		a, err := c.try(ctx, entry, w, ticket)
+		a, sent, err := c.try(ctx, entry, w, ticket)
 		if err == nil {
 			return a, nil
 		}
@@ -88,7 +88,7 @@
 		}
 		c.turnFrom(entry)
 		fault.Err = err
-		if !isDial(err) {
+		if sent {
 			fault.Kind = KindUnknown
 		}
 		// Without a ticket, work that may have run must not be sent again.
@@ -104,7 +104,7 @@
 	fault := &Error{Op: "reserve", Kind: KindNotRun}
 	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
 		entry := c.entry()
-		r, err := c.exchange(ctx, entry, http.MethodPost, ticketPath, http.Header{headerKind: {kind}}, nil)
+		r, _, err := c.exchange(ctx, entry, http.MethodPost, ticketPath, http.Header{headerKind: {kind}}, nil)
 		switch {
 		case err != nil:
 			fault.Err = err
@@ -128,7 +128,7 @@
 	h := http.Header{headerKind: {kind}, headerTicket: {ticket}}
 	for pause := pauseFirst; ; pause = min(2*pause, pauseLimit) {
 		entry := c.entry()
-		r, err := c.exchange(ctx, entry, http.MethodGet, ticketPath, h, nil)
+		r, _, err := c.exchange(ctx, entry, http.MethodGet, ticketPath, h, nil)
 		if err == nil {
 			return read("outcome", r, ticket)
 		}
@@ -153,7 +153,9 @@
 	}
 }
 
-func (c *Caller) try(ctx context.Context, entry string, w Work, ticket string) (*Answer, error) {
+// try sends the work through one node. It reports whether any of it may have
+// been sent.
+func (c *Caller) try(ctx context.Context, entry string, w Work, ticket string) (*Answer, bool, error) {
 	h := w.Header.Clone()
 	if h == nil {
 		h = make(http.Header)
@@ -169,11 +171,12 @@
 	if path == "" {
 		path = "/"
 	}
-	r, err := c.exchange(ctx, entry, method, path, h, w.Body)
+	r, sent, err := c.exchange(ctx, entry, method, path, h, w.Body)
 	if err != nil {
-		return nil, err
+		return nil, sent, err
 	}
-	return read("do", r, ticket)
+	a, err := read("do", r, ticket)
+	return a, sent, err
 }
 
 // reply is what a node sent.
@@ -184,11 +187,17 @@
 }
 
 // exchange sends one HTTP request. The body cannot be rewound, so that the
-// transport does not send it a second time on its own.
-func (c *Caller) exchange(ctx context.Context, entry, method, path string, h http.Header, body []byte) (reply, error) {
+// transport does not send it a second time on its own. It reports whether a
+// connection was given to the request: without one, nothing of it was sent,
+// whatever the error.
+func (c *Caller) exchange(ctx context.Context, entry, method, path string, h http.Header, body []byte) (reply, bool, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, nil)
 	if err != nil {
-		return reply{}, err
+		return reply{}, false, err
 	}
 	q.Header = h
 	if c.name != "" {
@@ -198,11 +207,11 @@
 	q.ContentLength = int64(len(body))
 	res, err := c.client.Do(q)
 	if err != nil {
-		return reply{}, err
+		return reply{}, sent.Load(), err
 	}
 	defer func() { _ = res.Body.Close() }()
 	text, err := io.ReadAll(res.Body)
-	return reply{status: res.StatusCode, header: res.Header, body: text}, err
+	return reply{status: res.StatusCode, header: res.Header, body: text}, true, err
 }
 
 // read turns a node's answer into the upstream's or into an *Error.
@@ -229,9 +238,3 @@
 	}
 	return p.Reason
 }
-
-// isDial reports whether err says that no connection was made.
-func isDial(err error) bool {
-	var e *net.OpError
-	return errors.As(err, &e) && e.Op == "dial"
-}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// TestEndedBeforeSending gives up before there is a connection: nothing was sent,
+// so the work did not run.
+func TestEndedBeforeSending(t *testing.T) {
+	c := New([]string{fakeNode(t, abort)}, WithoutTickets())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := c.Do(ctx, Work{Kind: "seal"})
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindNotRun {
+		t.Errorf("got %v, want kind %s", err, KindNotRun)
+	}
+}
+
 func TestOutcome(t *testing.T) {
 	c := New([]string{"127.0.0.1:1", fakeNode(t, abort)})
 	_, err := c.Outcome(t.Context(), "seal", "vm/1/1/1")
