depot: work that may have run is not told as not run

Cause, found by reading: the caller was told the outcome of the last try. After idempotent work was lost on one VM and then refused by another, that was 'not run' (503), which may be untrue. The test fails without it: got not-run, want unknown.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -275,3 +275,28 @@
 type fixedClock clock.Millis
 
 func (c fixedClock) Now() clock.Millis { return clock.Millis(c) }
+
+// TestLostThenRefused loses the answer of the only VM that has run the work and
+// then has a VM that refuses: the work may have run, so that it is not told as
+// not run.
+func TestLostThenRefused(t *testing.T) {
+	lost, first := startAdapter(t, "u-1", "")
+	entry, _ := startAdapter(t, "u-2", "")
+	full, second := startAdapter(t, "u-3", "")
+	lost.list(first)
+	full.list(second)
+	lost.run = func(context.Context, *portage.Call) RunResult {
+		entry.list(second)
+		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonLost}
+	}
+	full.run = func(context.Context, *portage.Call) RunResult {
+		return RunResult{Outcome: portage.OutcomeNotRun, Reached: true, Reason: reasonOverload}
+	}
+	entry.list(first)
+	if got, want := entry.carry(safeWork, 0).Outcome, portage.OutcomeUnknown; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if lost.runs.Load() != 1 || full.runs.Load() != 1 {
+		t.Errorf("got %d and %d runs, want one on each VM", lost.runs.Load(), full.runs.Load())
+	}
+}
--- a/depot/order.go
+++ b/depot/order.go
@@ -17,6 +17,8 @@
 	target clock.Millis
 	// avoid names the VMs that were tried.
 	avoid []string
+	// mayHaveRun is set by a try whose outcome is unknown.
+	mayHaveRun bool
 	// moves counts the refusals by owners whose upstream was not reached.
 	moves int
 	// busy names the VMs that would have queued the call for too long.
@@ -27,3 +29,12 @@
 	tries    int
 	maxTries int
 }
+
+// told returns what the caller is told after the last try: a refusal by one
+// owner does not make work unrun that another may have run.
+func (o *order) told(a *portage.Answer) *portage.Answer {
+	if o.mayHaveRun && a.Outcome == portage.OutcomeNotRun {
+		return unknown(a.Reason)
+	}
+	return a
+}
--- a/depot/sender.go
+++ b/depot/sender.go
@@ -35,8 +35,9 @@
 func (s *sender) send(o *order) *portage.Answer {
 	for {
 		a, pick, n := s.try(o)
+		o.mayHaveRun = o.mayHaveRun || a.Outcome == portage.OutcomeUnknown
 		if !s.goOn(o, n) {
-			return a
+			return o.told(a)
 		}
 		s.decisions.passedOn(o, a, pick, n)
 	}
