depot: an offer returns when the router follows what is in force

Cause of TestHeaders (503 for 201, once, under the race detector): documents brought by a peer were in the book before the router followed; a starting node that offered the same ones took them for done and served without VMs. One batch at a time is now taken to its end. The test fails without it; the mutation of the roster order follows the moved lock, and one for this is new.

--- a/depot/spread.go
+++ b/depot/spread.go
@@ -47,7 +47,8 @@
 	schedule registry.Schedule
 	log      zerolog.Logger
 	seeds    []string
-	// applying is held while the router and the fleet follow the book.
+	// applying is held from the change of the book until the router and the fleet
+	// follow it.
 	applying sync.Mutex
 	fleet    atomic.Pointer[registry.Fleet]
 	// heard is when an exchange with a peer last succeeded, on the clock.
@@ -62,8 +63,12 @@
 
 func (s *spread) fleetNow() *registry.Fleet { return s.fleet.Load() }
 
-// offer takes documents from the platform or a peer.
+// offer takes documents from the platform or a peer. When it returns, the router
+// follows what is in force, also where another goroutine brought it: one batch
+// at a time is taken.
 func (s *spread) offer(source string, bodies ...record.Body) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	var changed []string
 	for _, c := range s.book.OfferAll(bodies, source) {
 		if c.Verdict == record.VerdictSame || c.Verdict == record.VerdictOlder {
@@ -80,12 +85,9 @@
 }
 
 // apply makes the documents in force known to the router, the fleet and the
-// peers. Two batches may arrive at the same time: each takes the newest
-// snapshot while it holds the mutex, so that the older batch cannot bring back
-// an older roster.
+// peers. The mutex is held, so that an older batch cannot bring back an older
+// roster.
 func (s *spread) apply(keys []string) {
-	s.applying.Lock()
-	defer s.applying.Unlock()
 	now := s.book.Snapshot()
 	rosters := false
 	for _, key := range keys {
--- a/depot/spread_test.go
+++ b/depot/spread_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -51,6 +52,41 @@
 	}
 }
 
+// TestOfferedMeansApplied offers a roster that another goroutine is just taking
+// in: when the offer returns, the router knows the VMs, since a starting node
+// serves from then on.
+func TestOfferedMeansApplied(t *testing.T) {
+	s := newTestSpread()
+	body := record.Body{Key: "vms/s", Text: []byte("schema: 1\nrevision: 1\nservice: s\nvms:\n  - {name: vm, region: r, zone: z, address: \"h:1\", state: live}\n")}
+	// While the lock is held, no roster reaches the router.
+	s.applying.Lock()
+	pushed, read := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(pushed)
+		s.offer("peer", body)
+	}()
+	for end := time.Now().Add(100 * time.Millisecond); s.book.Snapshot().Document("vms/s") == nil && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	go func() {
+		defer close(read)
+		s.offer(sourcePlatform, body)
+	}()
+	select {
+	case <-read:
+		if _, ok := s.router.Address("s", "vm"); !ok {
+			t.Error("the offer returned, and the router does not know the VM")
+		}
+	case <-time.After(50 * time.Millisecond):
+	}
+	s.applying.Unlock()
+	<-pushed
+	<-read
+	if _, ok := s.router.Address("s", "vm"); !ok {
+		t.Error("afterwards: the router does not know the VM")
+	}
+}
+
 // TestCompareDocuments matches what a peer lists with what is in force.
 func TestCompareDocuments(t *testing.T) {
 	s := newTestSpread()
