depot, dispatch, booking, platform: one copy, and once

A list's start time of an upstream and the services of a policy were kept and never read. A reload now also names retries, stop, seeds, callers, heap growth and the answer's grace among what needs a restart: they were neither taken over nor named. Whole numbers in the log are whole. No other behaviour changes; tests keep their assertions (one argument that nothing read is gone).

--- a/booking/desk.go
+++ b/booking/desk.go
@@ -76,10 +76,12 @@
 		return VerdictStart
 	}
 	d.limiter.reached()
-	if d.hopeless(now, c) {
+	share := d.load.shareBefore(c.class)
+	wait := d.wait(c.class, c.kind, share)
+	if d.hopeless(now, c, share, wait) {
 		return VerdictShed
 	}
-	if c.patience >= 0 && d.wait(c.class, c.kind, d.load.shareBefore(c.class)) > float64(c.patience) {
+	if c.patience >= 0 && wait > float64(c.patience) {
 		return VerdictBusy
 	}
 	if d.waiting >= d.maxWaiting && !d.makeRoom(c) {
@@ -101,18 +103,16 @@
 	return &d.queues[c.class]
 }
 
-// hopeless reports whether c would wait too long behind the calls ahead of it.
-// It may wait for a part of its time only: what waits longer is often
+// hopeless reports whether c would wait too long when lower classes take a share
+// of the starts. It may wait for a part of its time only: what waits longer is often
 // overtaken by more urgent work and then refused late.
-func (d *Desk) hopeless(now clock.Millis, c *Call) bool {
+func (d *Desk) hopeless(now clock.Millis, c *Call, share, wait float64) bool {
 	if _, ranked := d.policy.(RankedQueue); !ranked {
 		return false
 	}
-	share := d.load.shareBefore(c.class)
 	if share >= fullShare {
 		return true
 	}
-	wait := d.wait(c.class, c.kind, share)
 	left := float64(c.deadline-now) - d.load.likely(c.kind)
 	return wait > left*(waitShareAlone-share*(waitShareAlone-waitShare))
 }
--- a/cuminhollow/line.go
+++ b/cuminhollow/line.go
@@ -44,6 +44,8 @@
 		}
 		switch name {
 		case "time":
+			// A line without a readable time is still part of the story; it is
+			// put first.
 			l.Time, _ = time.Parse(time.RFC3339Nano, value)
 		case "event":
 			l.Event = value
--- a/cuminhollow/trace.go
+++ b/cuminhollow/trace.go
@@ -20,6 +20,13 @@
 	eventRetried  = "retried"
 )
 
+// The outcomes of a request in the logs.
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not-run"
+	outcomeUnknown  = "unknown"
+)
+
 // story is all that the logs tell of one request and its onward calls.
 type story struct {
 	ID    string  `json:"id"`
@@ -129,9 +136,9 @@
 		return "No line tells how it ended: of ordinary successes only a sample is logged, or the log of its entry is missing."
 	}
 	switch a.Fields["outcome"] {
-	case "not-run":
+	case outcomeNotRun:
 		return s.explainRefusal(id, a)
-	case "unknown":
+	case outcomeUnknown:
 		return s.explainUnknown(id, a)
 	}
 	late := a.number("took_ms") > a.number("target_ms")
@@ -171,7 +178,7 @@
 	if r == nil {
 		return fmt.Sprintf("It may have run: the connection to the node of %s was lost, or that VM's log is missing (%s).", a.Fields["vm"], a.Fields["reason"])
 	}
-	if r.Fields["outcome"] == eventAnswered {
+	if r.Fields["outcome"] == outcomeAnswered {
 		return s.explainBelow(id, fmt.Sprintf("The upstream on %s answered %d after %d ms, when the caller's time was over", r.Fields["vm"], r.number("status"), r.number("ran_ms")))
 	}
 	if r.Fields["reason"] == "timeout" {
@@ -200,7 +207,7 @@
 
 // failed is 1 for the end of a call that brought no whole answer.
 func failed(l *line) int {
-	if l.Fields["outcome"] != eventAnswered || l.number("status") >= 500 {
+	if l.Fields["outcome"] != outcomeAnswered || l.number("status") >= 500 {
 		return 1
 	}
 	return 0
--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -90,7 +90,7 @@
 			break
 		}
 	}
-	vm := record.NewVM(upstream, "kutch", "kutch-a", host.Peers(), record.StateLive).WithUpstream(address, 8, 1)
+	vm := record.NewVM(upstream, "kutch", "kutch-a", host.Peers(), record.StateLive).WithUpstream(address, 8)
 	return a, vm
 }
 
@@ -158,7 +158,7 @@
 func TestLeavingUpstream(t *testing.T) {
 	a, vm := startAdapter(t, "u-1", "")
 	entry, other := startAdapter(t, "u-2", "")
-	leaving := record.NewVM("u-1", "kutch", "kutch-a", vm.Address(), record.StateLeaving).WithUpstream("127.0.9.1:1", 8, 1)
+	leaving := record.NewVM("u-1", "kutch", "kutch-a", vm.Address(), record.StateLeaving).WithUpstream("127.0.9.1:1", 8)
 	entry.list(vm)
 	for _, step := range []struct {
 		name string
@@ -222,7 +222,7 @@
 func TestReplacedNode(t *testing.T) {
 	a, vm := startAdapter(t, "u-1", "")
 	entry, _ := startAdapter(t, "u-2", "")
-	renamed := record.NewVM("u-9", "kutch", "kutch-a", vm.Address(), record.StateLive).WithUpstream("127.0.9.1:1", 8, 2)
+	renamed := record.NewVM("u-9", "kutch", "kutch-a", vm.Address(), record.StateLive).WithUpstream("127.0.9.1:1", 8)
 	a.run = func(_ context.Context, c *portage.Call) RunResult {
 		return RunResult{Outcome: portage.OutcomeAnswered, Reached: true, Status: http.StatusOK, Body: []byte(c.Request)}
 	}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -88,37 +88,37 @@
 		t.Refuse()
 		return
 	}
-	failed := a.Outcome != portage.OutcomeAnswered || a.Status >= http.StatusInternalServerError
-	t.End(now, span, failed)
+	t.End(now, span, isFailure(a))
 }
 
 // judge reads an answer of the owner: a call that did not run may go to
-// another owner.
+// another owner, and idempotent work that failed too.
 func (s *sender) judge(o *order, pick dispatch.Pick, a *portage.Answer) (*portage.Answer, next) {
-	if a.Outcome == portage.OutcomeNotRun && a.Reason == reasonLeaving {
-		pick.Target.SetLeaving(s.clock.Now())
-	}
-	again := false
-	switch a.Outcome {
-	case portage.OutcomeNotRun:
-		switch a.Reason {
-		case reasonExpired, reasonBadTicket, reasonOnward, reasonTries:
-			return a, nextNone
-		case reasonBusy, reasonLeaving:
-			return a, nextMove
+	if a.Outcome == portage.OutcomeNotRun {
+		if a.Reason == reasonLeaving {
+			pick.Target.SetLeaving(s.clock.Now())
 		}
-		again = true
-	case portage.OutcomeUnknown:
-		again = o.idempotent
-	default:
-		again = s.perHop && o.idempotent && a.Status >= http.StatusInternalServerError
+		return a, nextAfter(a.Reason)
 	}
-	if again {
+	failed := a.Outcome == portage.OutcomeUnknown || s.perHop && a.Status >= http.StatusInternalServerError
+	if failed && o.idempotent {
 		return a, nextRetry
 	}
 	return a, nextNone
 }
 
+// nextAfter says how a call goes on that an owner refused for a reason.
+func nextAfter(reason string) next {
+	switch reason {
+	case reasonExpired, reasonBadTicket, reasonOnward, reasonTries:
+		return nextNone
+	case reasonBusy, reasonLeaving:
+		return nextMove
+	default:
+		return nextRetry
+	}
+}
+
 func millisSince(began time.Time) float64 {
 	return float64(time.Since(began)) / float64(time.Millisecond)
 }
--- a/depot/decisions.go
+++ b/depot/decisions.go
@@ -1,7 +1,6 @@
 package depot
 
 import (
-	"net/http"
 	"sync/atomic"
 
 	"cuminhollow.example/booking"
@@ -36,7 +35,7 @@
 	var e *zerolog.Event
 	late := o.target > 0 && took > o.target
 	switch {
-	case a.Outcome != portage.OutcomeAnswered || a.Status >= http.StatusInternalServerError || late || o.tries > 1:
+	case isFailure(a) || late || o.tries > 1:
 		e = d.log.Info()
 	default:
 		e = d.success()
@@ -57,7 +56,7 @@
 	d.log.Info().Str("event", event).Str("id", o.call.Request).Str("kind", o.call.Kind).
 		Str("vm", pick.VM.Name()).Stringer("outcome", a.Outcome).Str("reason", a.Reason).
 		Int64("wait_ms", a.WaitMS).Int("load", a.Load).
-		Float64("cost_ms", float64(int(pick.Cost))).Int64("patience_ms", o.call.PatienceMS).
+		Int64("cost_ms", int64(pick.Cost)).Int64("patience_ms", o.call.PatienceMS).
 		Int("tries", o.tries).Send()
 }
 
@@ -67,7 +66,7 @@
 		Str("vm", c.VM).Str("origin", c.Origin).Str("reason", reason).
 		Int64("left_ms", int64(deadline-now)).Int64("patience_ms", c.PatienceMS).
 		Int("running", s.Running).Int("limit", s.Limit).Int("waiting", s.Waiting).
-		Float64("mean_ms", float64(int(s.Mean))).Send()
+		Int64("mean_ms", int64(s.Mean)).Send()
 }
 
 // ran notes the end of a run on the upstream.
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -65,7 +65,7 @@
 		e.refuse(w, name, policy, reason)
 		return
 	}
-	body, reason := readBody(w, q)
+	body, reason := ReadBody(w, q, portage.MaxBody)
 	if reason != "" {
 		e.refuse(w, name, policy, reason)
 		return
@@ -87,8 +87,8 @@
 	e.write(w, o, policy, a)
 }
 
-// isFailure reports whether the run that made an onward call is likely to fail
-// for it.
+// isFailure reports whether an answer is not what the caller wanted: the run
+// that made an onward call is likely to fail for it.
 func isFailure(a *portage.Answer) bool {
 	return a.Outcome != portage.OutcomeAnswered || a.Status >= http.StatusInternalServerError
 }
@@ -196,8 +196,10 @@
 	return ""
 }
 
-func readBody(w http.ResponseWriter, q *http.Request) ([]byte, string) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, portage.MaxBody))
+// ReadBody reads the body of a request, up to a limit in bytes. It returns the
+// reason why the request is refused if that fails.
+func ReadBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, string) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -249,7 +251,7 @@
 func (e *entry) refuse(w http.ResponseWriter, kind string, p *record.Policy, reason string) {
 	e.metrics.outcome(kind, portage.OutcomeNotRun, reason)
 	out := problem{
-		Status:  statusOf(portage.OutcomeNotRun, reason),
+		Status:  StatusOf(portage.OutcomeNotRun, reason),
 		Outcome: portage.OutcomeNotRun.String(),
 		Reason:  reason,
 		Kind:    kind,
@@ -285,7 +287,7 @@
 		return
 	}
 	out := problem{
-		Status:  statusOf(a.Outcome, a.Reason),
+		Status:  StatusOf(a.Outcome, a.Reason),
 		Outcome: a.Outcome.String(),
 		Reason:  a.Reason,
 		Kind:    p.Name(),
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -200,10 +200,7 @@
 // all others.
 func (o *owner) class(c *portage.Call) (booking.Class, bool) {
 	class := booking.Class(min(c.Class, booking.Classes-1))
-	if o.origins == nil {
-		return class, false
-	}
-	if !o.origins.Onward(c.Kind) {
+	if o.origins == nil || !o.origins.Onward(c.Kind) {
 		return class, false
 	}
 	return booking.ClassOf(true, class.Rank()), true
--- a/depot/problem.go
+++ b/depot/problem.go
@@ -62,8 +62,8 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
-// statusOf returns the HTTP status of an outcome that is not an answer.
-func statusOf(o portage.Outcome, reason string) int {
+// StatusOf returns the HTTP status of an outcome that is not an answer.
+func StatusOf(o portage.Outcome, reason string) int {
 	switch {
 	case o == portage.OutcomeUnknown:
 		return http.StatusGatewayTimeout
--- a/depot/reload.go
+++ b/depot/reload.go
@@ -24,6 +24,13 @@
 		"transport": s.transport != n.settings.transport,
 		"policy":    s.policy != n.settings.policy,
 		"routes":    !slices.Equal(s.routes, n.settings.routes),
+		"seeds":     !slices.Equal(s.seeds, n.settings.seeds),
+		"callers":   s.callers != n.settings.callers,
+		"retries":   s.retries != n.settings.retries,
+		"stop":      s.stop != n.settings.stop,
+
+		"heap_growth_percent":     s.heapGrowth != n.settings.heapGrowth,
+		"adapter.answer_grace_ms": s.adapter.Grace != n.settings.adapter.Grace,
 	} {
 		if changed {
 			restart = append(restart, name)
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -151,7 +151,12 @@
 	if p == nil {
 		return Pick{}, &Error{Op: "pick", Kind: KindNoVM, Service: q.Service}
 	}
-	s := search{now: now, request: q}
+	s := search{
+		now:     now,
+		request: q,
+		usual:   p.usualRun(now, q.Kind),
+		errors:  p.usualErrors(now),
+	}
 	if found, ok := r.search(p, &s); ok {
 		return found, nil
 	}
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -40,19 +40,17 @@
 // search takes the cheapest VM of all tiers. The far tier is for classes that
 // are worth it, and for all when no VM is alive in the region.
 func (r *Router) search(p *plan, s *search) (Pick, bool) {
-	s.usual = p.usualRun(s.now, s.request.Kind)
-	s.errors = p.usualErrors(s.now)
 	var best *choice
 	var found Pick
 	for tier := range p.tiers {
 		if Tier(tier) == TierFar && !mayLeaveRegion(s.request.Class) && p.aliveNear(s.now) {
 			break
 		}
-		c := r.pickIn(p.tiers[tier], s)
+		c, cost := r.pickIn(p.tiers[tier], s)
 		if c == nil {
 			continue
 		}
-		cost := tierCost(Tier(tier), s.request.Target) + s.cost(c)
+		cost += tierCost(Tier(tier), s.request.Target)
 		switch {
 		case best == nil:
 			found = Pick{Cost: cost, Spare: unlimited}
@@ -113,25 +111,26 @@
 }
 
 // pickIn takes the cheapest of a few choices, or of two random ones of many, or
-// any other when neither is usable; nil when none is.
-func (r *Router) pickIn(choices []choice, s *search) *choice {
+// any other when neither is usable, and tells its cost; nil when none is.
+func (r *Router) pickIn(choices []choice, s *search) (*choice, float64) {
 	n := len(choices)
 	if n == 0 {
-		return nil
+		return nil, 0
 	}
 	if n <= scanSize {
 		return r.cheapest(choices, s)
 	}
 	first := r.random(n)
 	second := (first + 1 + r.random(n-1)) % n
-	if c := r.cheapest([]choice{choices[first], choices[second]}, s); c != nil {
-		return c
+	if c, cost := r.cheapest([]choice{choices[first], choices[second]}, s); c != nil {
+		return c, cost
 	}
 	return r.cheapest(choices, s)
 }
 
-// cheapest scans the choices from a random start.
-func (r *Router) cheapest(choices []choice, s *search) *choice {
+// cheapest scans the choices from a random start and tells the cost of the one
+// that it takes; nil when none is usable.
+func (r *Router) cheapest(choices []choice, s *search) (*choice, float64) {
 	start := r.random(len(choices))
 	var best *choice
 	least := 0.0
@@ -144,7 +143,7 @@
 			best, least = c, cost
 		}
 	}
-	return best
+	return best, least
 }
 
 // usable reports whether c takes the call. Now and then a call tests a VM that
--- a/record/policy.go
+++ b/record/policy.go
@@ -116,18 +116,6 @@
 	return partAt(p.parts, point)
 }
 
-// Services returns all services that may run the work.
-func (p *Policy) Services() []string {
-	if len(p.parts) == 0 {
-		return []string{p.service}
-	}
-	out := make([]string, 0, len(p.parts))
-	for _, part := range p.parts {
-		out = append(out, part.Service)
-	}
-	return out
-}
-
 // Tries returns the most tries over the whole call chain, the first included.
 func (p *Policy) Tries() int { return p.tries }
 
--- a/record/roster.go
+++ b/record/roster.go
@@ -20,8 +20,6 @@
 	// it runs at once; empty and 0 where the list does not tell.
 	upstream string
 	slots    int
-	// started tells one process of the upstream from the next.
-	started uint64
 }
 
 // NewVM returns an entry. Address is the host and port of the VM's node for
@@ -30,11 +28,10 @@
 	return VM{name: name, region: region, zone: zone, address: address, state: state}
 }
 
-// WithUpstream returns a copy that tells the address of the VM's upstream, the
-// number of requests that it runs at once, and a number that tells one process
-// of it from the next.
-func (v VM) WithUpstream(address string, slots int, started uint64) VM {
-	v.upstream, v.slots, v.started = address, slots, started
+// WithUpstream returns a copy that tells the address of the VM's upstream and
+// the number of requests that it runs at once.
+func (v VM) WithUpstream(address string, slots int) VM {
+	v.upstream, v.slots = address, slots
 	return v
 }
 
@@ -44,9 +41,6 @@
 // Slots returns the requests that the upstream runs at once; 0 when unknown.
 func (v VM) Slots() int { return v.slots }
 
-// Started tells one process of the upstream from the next; 0 when unknown.
-func (v VM) Started() uint64 { return v.started }
-
 // Name returns the name of the VM, unique in the fleet.
 func (v VM) Name() string { return v.name }
 
