proof: the old ticket's session is open again before the ticket is presented

Which nodes had opened sessions by then was left to chance. Each node now opens one first. Ruled out: the mutation itself (it builds and applies).

--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -141,6 +141,11 @@
 		t.Fatal(err)
 	}
 	eventually(t, "owner ready", 10*time.Second, func() bool { return f.Ready(owner) })
+	// Each node opens a session with the new process, so that the number of the
+	// old one is in use again and only the incarnation tells the two apart.
+	for _, v := range f.VMs {
+		reserve(t, v.CallerAddress)
+	}
 	r := call(desk[0].CallerAddress, "certificate", "old", "Cuminhollow-Ticket", ticket)
 	if got, want := r.outcome, "unknown"; got != want {
 		t.Errorf("old ticket: got %q (%s), want %q", got, r.reason, want)
