dispatch, booking, depot: the way of a call and its place in the queue decided without I/O

Cause: which VM follows after a refusal, and which calls come before others, stood in the runtime (depot.sender, depot.owner), so that no test without sockets could replay a load against them. dispatch.Trip and booking.Desk.Place hold them now; an order is made in one place for both interfaces.

--- a/booking/call.go
+++ b/booking/call.go
@@ -18,6 +18,10 @@
 	kind     string
 	caller   string
 	deadline clock.Millis
+	// origin is the service on whose VM the call began; empty when unknown.
+	origin string
+	// onward marks a call that is made for work that runs already.
+	onward bool
 	// patience is the longest wait that makes sense, or negative for no bound
 	// but the deadline, in milliseconds.
 	patience clock.Millis
@@ -39,6 +43,16 @@
 // milliseconds. Without it, only the deadline bounds the wait.
 func (c *Call) SetPatience(patience clock.Millis) { c.patience = max(patience, 0) }
 
+// SetOrigin names the service on whose VM the call began.
+func (c *Call) SetOrigin(service string) { c.origin = service }
+
+// SetOnward marks a call that is known to be made for work that runs already.
+func (c *Call) SetOnward() { c.onward = true }
+
+// Onward reports whether the call is made for work that runs already, as far as
+// the desk knew when it was admitted.
+func (c *Call) Onward() bool { return c.onward }
+
 // Class returns the class of the call.
 func (c *Call) Class() Class { return c.class }
 
--- a/booking/desk.go
+++ b/booking/desk.go
@@ -33,6 +33,8 @@
 	waiting    int
 	maxWaiting int
 	queues     [Classes]classQueue
+	// origins is nil where onward calls say so themselves.
+	origins *Origins
 }
 
 // NewDesk returns a desk for an upstream with that many slots, at least one.
@@ -52,6 +54,10 @@
 // Admit decides on a new call. After VerdictStart the caller runs it and calls
 // Done; after VerdictQueued it waits for Call.Decided.
 func (d *Desk) Admit(now clock.Millis, c *Call) Verdict {
+	if d.origins != nil {
+		d.origins.Note(c.kind, c.origin)
+	}
+	c.class, c.onward = d.Place(c.class, c.kind, c.onward)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.load.roll(now)
@@ -67,6 +73,28 @@
 	return v
 }
 
+// Place returns the class in which a call of a class and kind is served, and
+// whether it is an onward call: one that says so, or one of a kind that the desk
+// has found to be. Those it has found come before all others.
+func (d *Desk) Place(class Class, kind string, onward bool) (Class, bool) {
+	switch {
+	case onward:
+		return class, true
+	case d.origins == nil || !d.origins.Onward(kind):
+		return class, false
+	default:
+		return ClassOf(true, class.Rank()), true
+	}
+}
+
+// SetSizes tells the number of VMs of each service, by which the desk judges
+// from where calls begin.
+func (d *Desk) SetSizes(sizes map[string]int) {
+	if d.origins != nil {
+		d.origins.Resize(sizes)
+	}
+}
+
 func (d *Desk) admit(now clock.Millis, c *Call) Verdict {
 	if now >= c.deadline {
 		return VerdictExpired
--- a/booking/options.go
+++ b/booking/options.go
@@ -19,6 +19,13 @@
 	return func(d *Desk) { d.maxWaiting = max(n, 0) }
 }
 
+// WithOrigins makes the desk learn from where calls begin which kinds are onward
+// calls, and serve those before all others. Without it, onward calls are those
+// that say so, in the class that they have.
+func WithOrigins() Option {
+	return func(d *Desk) { d.origins = new(Origins) }
+}
+
 // QueuePolicy chooses the order of the queue: RankedQueue or FIFOQueue.
 type QueuePolicy interface {
 	isQueuePolicy()
--- a/booking/origins_test.go
+++ b/booking/origins_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"cuminhollow.example/clock"
 )
 
 // TestOrigins sends the calls of outside callers through the VMs of all
@@ -56,3 +58,36 @@
 		}
 	})
 }
+
+// TestPlace admits calls that begin at one service only: the desk finds them to
+// be onward calls and puts them before all others. A call that says so itself
+// keeps its class.
+func TestPlace(t *testing.T) {
+	d := NewDesk(1, WithOrigins())
+	d.SetSizes(map[string]int{"a": 1, "b": 1, "c": 1})
+	class := ClassOf(false, 3)
+	for range originMin {
+		c := NewCall(class, "read", "", clock.Hour)
+		c.SetOrigin("b")
+		d.Admit(0, c)
+		d.Done(0, c, ResultOK)
+	}
+	tests := []struct {
+		name, kind string
+		onward     bool
+		want       Class
+		wantOnward bool
+	}{
+		{"found to be onward", "read", false, ClassOf(true, 3), true},
+		{"unknown", "seal", false, class, false},
+		{"says that it is onward", "seal", true, class, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, onward := d.Place(class, tt.kind, tt.onward)
+			if got != tt.want || onward != tt.wantOnward {
+				t.Errorf("got class %d, onward %t, want %d, %t", got, onward, tt.want, tt.wantOnward)
+			}
+		})
+	}
+}
--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -245,24 +245,21 @@
 	a, vm := startAdapter(t, "u-1", "")
 	a.list(vm)
 	o := a.node.owner
-	o.origins.Resize(map[string]int{"desk": 1, "other": 1, "third": 1})
+	o.desk.SetSizes(map[string]int{"desk": 1, "other": 1, "third": 1})
 	c := &portage.Call{Request: "id", Kind: "read", Group: "read", Class: 9, Origin: "other"}
-	for range 50 {
-		o.origins.Note(c.Kind, c.Origin)
-	}
-	class, onward := o.class(c)
-	if !onward {
-		t.Fatal("got no onward call, want one")
-	}
 	var now clock.Millis
 	for range 100 {
-		b := booking.NewCall(class, c.Group, "", now+clock.Hour)
+		b := newBooking(c, now+clock.Hour)
 		o.desk.Admit(now, b)
 		now += 10
 		o.desk.Done(now, b, booking.ResultOK)
 	}
 	for range vm.Slots() {
-		o.desk.Admit(now, booking.NewCall(class, c.Group, "", now+clock.Hour))
+		o.desk.Admit(now, newBooking(c, now+clock.Hour))
+	}
+	class, onward := o.place(c)
+	if !onward {
+		t.Fatal("got no onward call, want one")
 	}
 	view := o.desk.Outlook(now, class, c.Kind)
 	o.clock = fixedClock(now)
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -21,15 +21,6 @@
 	// maxClosed is the number of connections that may end just before a call
 	// is written to them.
 	maxClosed = 3
-	// maxMoves is the number of owners that may refuse a call before their
-	// upstream is reached, without that being a try.
-	maxMoves = 4
-	// patienceMin is the shortest queueing that is better than another way, in
-	// milliseconds.
-	patienceMin = 10
-	// maxSpare is the longest advance over the next best VM that bounds the
-	// queueing, in milliseconds.
-	maxSpare = 10_000
 )
 
 // next says how an order goes on after an attempt.
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -78,7 +78,13 @@
 	defer stop()
 	scoped := *r
 	scoped.ctx = ctx
-	o := e.newOrder(&scoped, q, policy, body)
+	o := newOrder(&scoped, policy, policy.Service(), portage.Call{
+		Origin: e.service,
+		Method: q.Method,
+		Path:   q.URL.RequestURI(),
+		Header: PassedFields(q.Header),
+		Body:   body,
+	})
 	a := e.answer(q, o)
 	if onward {
 		e.throttle.Note(e.clock.Now(), r.group, isFailure(a))
@@ -211,29 +217,6 @@
 	}
 }
 
-func (e *entry) newOrder(r *run, q *http.Request, p *record.Policy, body []byte) *order {
-	return &order{
-		run:        r,
-		service:    p.Service(),
-		idempotent: p.Idempotent(),
-		target:     min(p.Target(), p.Limit()),
-		maxTries:   p.Tries(),
-		call: portage.Call{
-			Request: r.request,
-			Kind:    p.Name(),
-			Group:   r.group,
-			Class:   uint8(r.class),
-			Caller:  r.caller,
-			Origin:  e.service,
-			Method:  q.Method,
-			Path:    q.URL.RequestURI(),
-			Header:  PassedFields(q.Header),
-			Body:    body,
-			Sum:     portage.Checksum(body),
-		},
-	}
-}
-
 // answer sends the order, or presents the ticket that came with the call.
 func (e *entry) answer(q *http.Request, o *order) *portage.Answer {
 	text := q.Header.Get(HeaderTicket)
--- a/depot/node.go
+++ b/depot/node.go
@@ -157,16 +157,15 @@
 		decisions: n.decisions,
 		clock:     n.clock,
 		table:     claim.NewTable(s.vm, n.incarnation, n.clock, answerSize),
-		desk:      booking.NewDesk(s.upstream.Slots, s.policy.desk()...),
+		desk:      n.newDesk(),
 		upstream:  n.upstream,
 		runs:      runs,
 		throttle:  throttle,
 		early:     s.policy.early(),
 		metrics:   n.metrics,
 		repeats:   s.retries.repeats(),
-	}
-	if n.source != nil {
-		n.owner.origins = new(booking.Origins)
+
+		learnsOnward: n.source != nil,
 	}
 	n.entry = &entry{
 		clock: n.clock,
@@ -206,6 +205,15 @@
 	n.server = portage.NewServer(n, n.linkOpts...)
 }
 
+// newDesk returns the admission desk of the VM's own upstream.
+func (n *Node) newDesk() *booking.Desk {
+	opts := n.settings.policy.desk()
+	if n.source != nil {
+		opts = append(opts, booking.WithOrigins())
+	}
+	return booking.NewDesk(n.settings.upstream.Slots, opts...)
+}
+
 // Run serves until ctx ends, then stops gracefully: it takes no new work,
 // finishes what is in flight, and returns nil. It returns an *Error when a port
 // cannot be opened.
--- a/depot/order.go
+++ b/depot/order.go
@@ -3,7 +3,9 @@
 import (
 	"cuminhollow.example/claim"
 	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
 	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
 )
 
 // order is a call on its way to an owner.
@@ -15,21 +17,42 @@
 	idempotent bool
 	// target is the time within which the answer is of full use.
 	target clock.Millis
-	// avoid names the VMs that were tried.
-	avoid []string
+	// trip leads from VM to VM.
+	trip *dispatch.Trip
 	// mayHaveRun is set by a try whose outcome is unknown.
 	mayHaveRun bool
-	// moves counts the refusals by owners whose upstream was not reached.
-	moves int
-	// busy names the VMs that would have queued the call for too long.
-	busy []string
 	// ticket is that of the last attempt; zero for idempotent work.
 	ticket claim.Ticket
-	// tries counts the attempts; maxTries is that of the kind's record.
-	tries    int
+	// maxTries is that of the kind's record.
 	maxTries int
 }
 
+// newOrder returns the order of a call for a service within a run. The call
+// holds what the caller sent; the rest is filled in.
+func newOrder(r *run, p *record.Policy, service string, c portage.Call) *order {
+	c.Request = r.request
+	c.Kind = p.Name()
+	c.Group = r.group
+	c.Class = uint8(r.class)
+	c.Caller = r.caller
+	c.Sum = portage.Checksum(c.Body)
+	target := min(p.Target(), p.Limit())
+	return &order{
+		run:        r,
+		call:       c,
+		service:    service,
+		idempotent: p.Idempotent(),
+		target:     target,
+		maxTries:   p.Tries(),
+		trip: dispatch.NewTrip(dispatch.Request{
+			Service: service,
+			Class:   r.class,
+			Kind:    p.Name(),
+			Target:  target,
+		}),
+	}
+}
+
 // told returns what the caller is told after the last try: a refusal by one
 // owner does not make work unrun that another may have run.
 func (o *order) told(a *portage.Answer) *portage.Answer {
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -39,9 +39,8 @@
 	runs      *runTable
 	throttle  *booking.Throttle
 	metrics   *metrics
-	// origins tells which kinds are onward calls where those do not name their
-	// run; nil where they do.
-	origins *booking.Origins
+	// learnsOnward is set where onward calls do not name their run.
+	learnsOnward bool
 	// repeats bounds what reaches the upstream again.
 	repeats *ledger.Repeats
 	// early makes the owner refuse calls whose onward calls would fail.
@@ -77,7 +76,7 @@
 	out.Request = c.Request
 	now := o.clock.Now()
 	out.Level = uint8(o.desk.Level(now))
-	class, _ := o.class(c)
+	class, _ := o.place(c)
 	view := o.desk.Outlook(now, class, c.Kind)
 	out.WaitMS, out.RunMS = int64(view.Wait), int64(view.Run)
 	out.Load = int(view.Load * loadScale)
@@ -160,19 +159,12 @@
 	if o.leaving.Load() || o.closed.Load() {
 		return o.refuse(c, reasonLeaving, deadline)
 	}
-	if o.origins != nil {
-		o.origins.Note(c.Kind, c.Origin)
-	}
-	class, onward := o.class(c)
 	arrived := o.clock.Now()
-	if o.early && !onward && !o.throttle.Admit(arrived, c.Group) {
+	if _, onward := o.place(c); o.early && !onward && !o.throttle.Admit(arrived, c.Group) {
 		return o.refuse(c, reasonOnward, deadline)
 	}
-	b := booking.NewCall(class, c.Group, c.Caller, deadline)
-	if c.PatienceMS > 0 {
-		b.SetPatience(clock.Millis(c.PatienceMS))
-	}
-	v := o.desk.Admit(o.clock.Now(), b)
+	b := newBooking(c, deadline)
+	v := o.desk.Admit(arrived, b)
 	if v == booking.VerdictQueued {
 		v = o.queued(ctx, b)
 	}
@@ -195,15 +187,28 @@
 	return notRun(reason, c.Grant)
 }
 
-// class returns the class of a call and whether it is an onward call of work
-// that runs already. Where such calls do not name their run, they come before
-// all others.
-func (o *owner) class(c *portage.Call) (booking.Class, bool) {
-	class := booking.Class(min(c.Class, booking.Classes-1))
-	if o.origins == nil || !o.origins.Onward(c.Kind) {
-		return class, false
+// place returns the class in which a call is served, and whether it is an onward
+// call.
+func (o *owner) place(c *portage.Call) (booking.Class, bool) {
+	return o.desk.Place(classOf(c), c.Group, c.Onward)
+}
+
+// classOf reads the class of a call; one out of range is the last.
+func classOf(c *portage.Call) booking.Class {
+	return booking.Class(min(c.Class, booking.Classes-1))
+}
+
+// newBooking returns the call as the desk takes it.
+func newBooking(c *portage.Call, deadline clock.Millis) *booking.Call {
+	b := booking.NewCall(classOf(c), c.Group, c.Caller, deadline)
+	b.SetOrigin(c.Origin)
+	if c.Onward {
+		b.SetOnward()
+	}
+	if c.PatienceMS > 0 {
+		b.SetPatience(clock.Millis(c.PatienceMS))
 	}
-	return booking.ClassOf(true, class.Rank()), true
+	return b
 }
 
 // queued waits for the verdict on a queued call, while it can still end in
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -40,7 +40,7 @@
 	res := o.run(ctx, c, id, deadline)
 	o.runs.remove(id)
 	ended := o.clock.Now()
-	if o.origins != nil {
+	if o.learnsOnward {
 		o.throttle.Note(ended, c.Group, failedRun(res) || ended-now > (deadline-now)*lateParts/10)
 	}
 	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
--- a/depot/sender.go
+++ b/depot/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 
 	"cuminhollow.example/clock"
@@ -48,13 +47,12 @@
 	if n == nextNone || o.run.ctx.Err() != nil || s.clock.Now() >= o.run.deadline {
 		return false
 	}
-	if n == nextMove && o.moves < maxMoves {
-		o.moves++
+	if n == nextMove && o.trip.Move() {
 		return true
 	}
 	if s.perHop {
-		o.avoid = nil
-		return o.tries < o.maxTries
+		o.trip.Forget()
+		return o.trip.Tries() < o.maxTries
 	}
 	return s.bucket(o.service).Retry() && o.run.account.Spend()
 }
@@ -74,41 +72,20 @@
 	if now >= o.run.deadline {
 		return notRun(reasonExpired, 0), dispatch.Pick{}, nextNone
 	}
-	pick, err := s.router.Pick(now, dispatch.Request{
-		Service: o.service,
-		Class:   o.run.class,
-		Kind:    o.call.Kind,
-		Target:  o.target,
-		Avoid:   o.avoid,
-	})
+	pick, err := o.trip.Next(now, s.router)
 	if err != nil {
 		return notRun(pickReason(err), 0), dispatch.Pick{}, nextNone
 	}
-	name := pick.VM.Name()
-	o.call.VM = name
-	o.call.PatienceMS = s.patience(o, pick)
-	if o.tries++; o.tries == 1 {
+	o.call.VM = pick.VM.Name()
+	o.call.PatienceMS = int64(o.trip.Patience())
+	if o.trip.Tries() == 1 {
 		s.bucket(o.service).Fresh()
 	}
 	a, n := s.sendTo(o, pick)
-	if a.Reason == reasonBusy {
-		o.busy = append(o.busy, name)
-	} else {
-		o.avoid = append(o.avoid, name)
-	}
+	o.trip.Leave(a.Reason == reasonBusy)
 	return a, pick, n
 }
 
-// patience returns how long the owner may queue the call, in milliseconds: no
-// longer than the way to the next best VM costs, and 0 for no bound when the
-// call has been there or cannot move any more.
-func (s *sender) patience(o *order, pick dispatch.Pick) int64 {
-	if o.moves >= maxMoves || pick.Spare > maxSpare || slices.Contains(o.busy, pick.VM.Name()) {
-		return 0
-	}
-	return int64(pick.Spare) + patienceMin
-}
-
 func pickReason(err error) string {
 	var e *dispatch.Error
 	if errors.As(err, &e) && e.Kind == dispatch.KindOverload {
--- a/depot/source.go
+++ b/depot/source.go
@@ -51,7 +51,7 @@
 			}
 		}
 	}
-	n.owner.origins.Resize(sizes)
+	n.owner.desk.SetSizes(sizes)
 	n.owner.repeats.SetSpare(n.settings.retries.spareOf(sizes[n.settings.service]))
 	n.follow(own)
 }
--- a/depot/work.go
+++ b/depot/work.go
@@ -88,24 +88,11 @@
 		deadline: e.clock.Now() + w.Left,
 		account:  ledger.NewAccount(p.ExtraTries()),
 	}
-	return &order{
-		run:        r,
-		service:    p.ServiceAt(rand.Float64()),
-		idempotent: p.Idempotent(),
-		target:     min(p.Target(), p.Limit()),
-		maxTries:   p.Tries(),
-		call: portage.Call{
-			Request: w.ID,
-			Kind:    p.Name(),
-			Group:   r.group,
-			Class:   uint8(class),
-			Caller:  w.Caller,
-			Origin:  e.service,
-			Method:  w.Method,
-			Path:    w.Path,
-			Header:  w.Header,
-			Body:    w.Body,
-			Sum:     portage.Checksum(w.Body),
-		},
-	}
+	return newOrder(r, p, p.ServiceAt(rand.Float64()), portage.Call{
+		Origin: e.service,
+		Method: w.Method,
+		Path:   w.Path,
+		Header: w.Header,
+		Body:   w.Body,
+	})
 }
--- a/portage/message.go
+++ b/portage/message.go
@@ -110,6 +110,8 @@
 	// PatienceMS is the longest wait for a slot with which the call is not
 	// better sent elsewhere, in milliseconds; 0 for no bound.
 	PatienceMS int64
+	// Onward marks a call that is known to be made for work that runs already.
+	Onward bool
 	// Repeat tells that an earlier try of the call reached an upstream.
 	Repeat bool
 	// Grant is the number of extra tries that go with the call.
