--- a/booking/call.go
+++ b/booking/call.go
@@ -18,8 +18,13 @@
 	kind     string
 	caller   string
 	deadline clock.Millis
+	// useful is until when an answer is of full use; the deadline where nothing
+	// else is said.
+	useful clock.Millis
 	// origin is the service on whose VM the call began; empty when unknown.
 	origin string
+	// once marks work that is not idempotent.
+	once bool
 	// onward marks a call that is made for work that runs already.
 	onward bool
 	// patience is the longest wait that makes sense, or negative for no bound
@@ -28,17 +33,28 @@
 	// latest is the last time at which a queued call may start.
 	latest clock.Millis
 	// decided receives exactly one verdict if the call was queued.
-	decided chan Verdict
-	started clock.Millis
+	decided          chan Verdict
+	arrived, started clock.Millis
+	// first marks the first call of a chain, which may wait when services further
+	// down are full.
+	first bool
+	// strained is set when the call waited for long or was refused for want of
+	// room.
+	strained bool
 	// state is guarded by the mutex of the desk.
 	state callState
 }
 
 // NewCall returns a call whose answer is of use until deadline.
 func NewCall(class Class, kind, caller string, deadline clock.Millis) *Call {
-	return &Call{class: class, kind: kind, caller: caller, deadline: deadline, patience: -1}
+	return &Call{class: class, kind: kind, caller: caller, deadline: deadline, useful: deadline, patience: -1}
 }
 
+// SetUseful tells until when the answer is of full use. A call that would wait
+// beyond that is refused rather than queued before others, unless the time has
+// passed already.
+func (c *Call) SetUseful(until clock.Millis) { c.useful = min(until, c.deadline) }
+
 // SetPatience bounds the expected wait with which the call is still queued, in
 // milliseconds. Without it, only the deadline bounds the wait.
 func (c *Call) SetPatience(patience clock.Millis) { c.patience = max(patience, 0) }
@@ -46,6 +62,9 @@
 // SetOrigin names the service on whose VM the call began.
 func (c *Call) SetOrigin(service string) { c.origin = service }
 
+// SetOnce marks work that is not idempotent.
+func (c *Call) SetOnce() { c.once = true }
+
 // SetOnward marks a call that is known to be made for work that runs already.
 func (c *Call) SetOnward() { c.onward = true }
 
--- a/booking/limit.go
+++ b/booking/limit.go
@@ -71,7 +71,7 @@
 // done learns from the end of a run.
 func (l *limiter) done(now clock.Millis, r Result) {
 	switch r {
-	case ResultOK:
+	case ResultOK, ResultError:
 		l.ok++
 	case ResultOverload, ResultFailed:
 		l.faults++
--- a/booking/load.go
+++ b/booking/load.go
@@ -18,12 +18,20 @@
 	total   int
 }
 
+// kindLoad is what is known of one kind of work.
+type kindLoad struct {
+	duration
+	quota
+	// inFlight is the number of its runs.
+	inFlight int
+}
+
 // load estimates service times and what each class finds ahead of it.
 type load struct {
 	// all is the duration of a run over all kinds.
 	all duration
-	// kinds holds the duration of each kind; at most maxKinds.
-	kinds    map[string]*duration
+	// kinds holds each kind's own; at most maxKinds.
+	kinds    map[string]*kindLoad
 	current  window
 	previous window
 	end      clock.Millis
@@ -49,32 +57,46 @@
 
 func (l *load) refuse(c Class) { l.current.refused[c]++ }
 
+// kind returns what is known of a kind, or nil when too many are known already.
+func (l *load) kind(name string) *kindLoad {
+	k := l.kinds[name]
+	if k != nil || len(l.kinds) >= maxKinds {
+		return k
+	}
+	if l.kinds == nil {
+		l.kinds = make(map[string]*kindLoad)
+	}
+	k = new(kindLoad)
+	l.kinds[name] = k
+	return k
+}
+
 // finish learns the duration of a run, in milliseconds.
 func (l *load) finish(kind string, span float64) {
 	l.all.add(span)
-	d := l.kinds[kind]
-	if d == nil {
-		if len(l.kinds) >= maxKinds {
-			return
-		}
-		if l.kinds == nil {
-			l.kinds = make(map[string]*duration)
-		}
-		d = new(duration)
-		l.kinds[kind] = d
+	if k := l.kind(kind); k != nil {
+		k.add(span)
 	}
-	d.add(span)
 }
 
 // likely returns a time within which most runs of a kind end, or of all kinds
 // when the kind is new, in milliseconds.
 func (l *load) likely(kind string) float64 {
-	if d := l.kinds[kind]; d != nil {
-		return d.likely()
+	if k := l.kinds[kind]; k != nil && k.known {
+		return k.likely()
 	}
 	return l.all.likely()
 }
 
+// mean returns the mean duration of a kind's runs, or of all when the kind is
+// new, in milliseconds.
+func (l *load) mean(kind string) float64 {
+	if k := l.kinds[kind]; k != nil && k.known {
+		return k.mean
+	}
+	return l.all.mean
+}
+
 // shareBefore returns the share of the starts that went to lower classes, from
 // 0 to 1.
 func (l *load) shareBefore(c Class) float64 {
--- a/booking/options.go
+++ b/booking/options.go
@@ -26,6 +26,21 @@
 	return func(d *Desk) { d.origins = new(Origins) }
 }
 
+// WithHeadroom leaves a share of the slots free, from 0 to 1, but not the last
+// one: upstreams that are nearly full slow down. The default is 0.
+func WithHeadroom(share float64) Option {
+	return func(d *Desk) {
+		d.headroom = min(max(share, 0), 1)
+		d.limiter = newLimiter(d.limiter.policy, d.usable(d.limiter.slots))
+	}
+}
+
+// WithoutQuotas lets the first calls of chains run however full the services
+// further down are. It is a baseline for measurements.
+func WithoutQuotas() Option {
+	return func(d *Desk) { d.unlimited = true }
+}
+
 // QueuePolicy chooses the order of the queue: RankedQueue or FIFOQueue.
 type QueuePolicy interface {
 	isQueuePolicy()
--- a/booking/origins.go
+++ b/booking/origins.go
@@ -14,6 +14,10 @@
 	// units of an even share.
 	originShare = 0.4
 	originRatio = 1.6
+	// originEvery is the number of calls of a kind after which it is judged again.
+	originEvery = 8
+	// originMargin keeps a tie from being decided by rounding.
+	originMargin = 1e-9
 )
 
 // Origins learns which kinds of work are onward calls. Outside callers send
@@ -30,7 +34,10 @@
 
 // origin counts the calls of one kind by the service where they began.
 type origin struct {
-	total    float64
+	total float64
+	// onward is the last judgement, and unjudged the calls since.
+	onward   bool
+	unjudged int
 	services map[string]float64
 }
 
@@ -39,6 +46,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sizes = sizes
+	for _, k := range o.kinds {
+		k.judge(sizes)
+	}
 }
 
 // Note counts a call of a kind that began on a VM of a service.
@@ -58,12 +68,14 @@
 	}
 	k.total++
 	k.services[service]++
-	if k.total < originMemory {
-		return
+	if k.total >= originMemory {
+		k.total /= 2
+		for s := range k.services {
+			k.services[s] /= 2
+		}
 	}
-	k.total /= 2
-	for s := range k.services {
-		k.services[s] /= 2
+	if k.unjudged++; k.unjudged >= originEvery || k.total == originMin {
+		k.judge(o.sizes)
 	}
 }
 
@@ -73,18 +85,25 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	k := o.kinds[kind]
-	if k == nil || k.total < originMin {
-		return false
+	return k != nil && k.onward
+}
+
+// judge tells from where the calls of the kind began whether they are onward
+// calls, with the number of VMs of each service.
+func (k *origin) judge(sizes map[string]int) {
+	k.unjudged = 0
+	if k.total < originMin {
+		return
 	}
 	sum, most := 0.0, 0.0
 	for s, n := range k.services {
-		perVM := n / float64(max(o.sizes[s], 1))
+		perVM := n / float64(max(sizes[s], 1))
 		sum += perVM
 		most = max(most, perVM)
 	}
 	limit := originShare
-	if n := len(o.sizes); n > 0 {
+	if n := len(sizes); n > 0 {
 		limit = max(limit, originRatio/float64(n))
 	}
-	return most > limit*sum
+	k.onward = most > limit*sum*(1+originMargin)
 }
--- a/booking/queue.go
+++ b/booking/queue.go
@@ -35,21 +35,26 @@
 	q.size++
 }
 
-// pop removes the call whose turn it is; nil when the queue is empty.
-func (q *classQueue) pop() *Call {
-	if q.size == 0 {
-		return nil
-	}
-	q.next %= len(q.kinds)
-	k := q.kinds[q.next]
-	c := k.pop()
-	q.size--
-	if k.size == 0 {
-		q.kinds = slices.Delete(q.kinds, q.next, q.next+1)
-	} else {
-		q.next++
+// pop removes the call whose turn it is, of a kind that may start; nil when
+// there is none.
+func (q *classQueue) pop(mayStart func(*Call) bool) *Call {
+	for range q.kinds {
+		q.next %= len(q.kinds)
+		k := q.kinds[q.next]
+		if !mayStart(k.first()) {
+			q.next++
+			continue
+		}
+		c := k.pop()
+		q.size--
+		if k.size == 0 {
+			q.kinds = slices.Delete(q.kinds, q.next, q.next+1)
+		} else {
+			q.next++
+		}
+		return c
 	}
-	return c
+	return nil
 }
 
 // remove takes out c and reports whether it was waiting.
@@ -125,6 +130,11 @@
 	k.size++
 }
 
+// first returns the call that pop would remove.
+func (k *kindQueue) first() *Call {
+	return k.callers[k.next%len(k.callers)].calls[0]
+}
+
 func (k *kindQueue) pop() *Call {
 	k.next %= len(k.callers)
 	q := k.callers[k.next]
--- a/booking/result.go
+++ b/booking/result.go
@@ -7,6 +7,9 @@
 const (
 	// ResultOK is a whole answer in time.
 	ResultOK Result = iota + 1
+	// ResultError is a whole answer in time that reports an error: most often an
+	// onward call failed.
+	ResultError
 	// ResultOverload is a refusal by the upstream or an answer too late.
 	ResultOverload
 	// ResultFailed is a broken connection or a failed dial.
--- a/booking/verdict.go
+++ b/booking/verdict.go
@@ -14,6 +14,8 @@
 	VerdictExpired
 	// VerdictShed refuses a call in favour of others.
 	VerdictShed
+	// VerdictOnward refuses a first call because services further down are full.
+	VerdictOnward
 	// VerdictBusy refuses a call that would wait longer than its patience; it
 	// may be given to another desk.
 	VerdictBusy
@@ -30,6 +32,8 @@
 		return "expired"
 	case VerdictShed:
 		return "overload"
+	case VerdictOnward:
+		return "onward-overload"
 	case VerdictBusy:
 		return "busy"
 	default:
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -48,6 +48,9 @@
 	switch {
 	case err == nil:
 		s.note(now, pick.Target, a, millisSince(began))
+		if a.Onward {
+			s.desk.NoteStrain(now, float64(a.Strain)/strainScale)
+		}
 		if s.early {
 			pick.Target.SetLevel(now, levelOf(a))
 		}
@@ -101,7 +104,7 @@
 // nextAfter says how a call goes on that an owner refused for a reason.
 func nextAfter(reason string) next {
 	switch reason {
-	case reasonExpired, reasonBadTicket, reasonOnward, reasonTries:
+	case reasonExpired, reasonBadTicket, reasonTries:
 		return nextNone
 	case reasonBusy, reasonLeaving:
 		return nextMove
@@ -146,7 +149,9 @@
 func (s *sender) ask(ctx context.Context, link *portage.Link, c *portage.Call, o *order) (*portage.Answer, bool, error) {
 	sent, closed := false, 0
 	for pause := askPause; ; pause = min(2*pause, askPauseLimit) {
-		c.TimeLeftMS = int64(o.run.deadline - s.clock.Now())
+		now := s.clock.Now()
+		c.TimeLeftMS = int64(o.run.deadline - now)
+		c.UsefulMS = int64(max(0, o.useful-now))
 		r, err := link.Do(ctx, c)
 		if err == nil {
 			a, err := checked(c, r)
--- a/depot/decisions.go
+++ b/depot/decisions.go
@@ -1,6 +1,7 @@
 package depot
 
 import (
+	"math"
 	"sync/atomic"
 
 	"cuminhollow.example/booking"
@@ -61,14 +62,18 @@
 }
 
 // refused notes that this VM did not take a call.
-func (d *decisions) refused(c *portage.Call, reason string, now, deadline clock.Millis, s booking.Stats) {
+func (d *decisions) refused(c *portage.Call, reason string, now, deadline clock.Millis, s booking.Stats, k booking.KindStats) {
 	d.log.Info().Str("event", "refused").Str("id", c.Request).Str("kind", c.Kind).
 		Str("vm", c.VM).Str("origin", c.Origin).Str("reason", reason).
 		Int64("left_ms", int64(deadline-now)).Int64("patience_ms", c.PatienceMS).
 		Int("running", s.Running).Int("limit", s.Limit).Int("waiting", s.Waiting).
-		Int64("mean_ms", int64(s.Mean)).Send()
+		Int64("mean_ms", int64(s.Mean)).Float64("strain", round(k.Strain)).
+		Int("kind_running", k.InFlight).Float64("quota", round(k.Quota)).Send()
 }
 
+// round keeps two decimals.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 // ran notes the end of a run on the upstream.
 func (d *decisions) ran(c *portage.Call, r RunResult, queued, ran, left clock.Millis) {
 	var e *zerolog.Event
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -31,7 +31,6 @@
 	sender   *sender
 	runs     *runTable
 	metrics  *metrics
-	throttle *booking.Throttle
 	routes   []Route
 	identity string
 	// service is that of the node's VM.
@@ -85,10 +84,8 @@
 		Header: PassedFields(q.Header),
 		Body:   body,
 	})
+	o.call.Onward = onward
 	a := e.answer(q, o)
-	if onward {
-		e.throttle.Note(e.clock.Now(), r.group, isFailure(a))
-	}
 	e.metrics.outcome(name, a.Outcome, a.Reason)
 	e.write(w, o, policy, a)
 }
@@ -139,13 +136,15 @@
 	if e.leaving.Load() {
 		return nil, reasonLeaving
 	}
+	now := e.clock.Now()
 	r := &run{
 		ctx:      q.Context(),
 		request:  uuid.NewString(),
 		class:    booking.ClassOf(p.Protected(), p.Rank()),
 		group:    p.Name(),
 		caller:   e.caller(q),
-		deadline: e.clock.Now() + p.Target(),
+		began:    now,
+		deadline: now + p.Target(),
 		account:  ledger.NewAccount(p.ExtraTries()),
 	}
 	return r, ""
@@ -163,6 +162,7 @@
 			request:  uuid.NewString(),
 			class:    booking.ClassOf(false, record.MaxRank),
 			group:    p.Name(),
+			began:    now,
 			deadline: now + p.Target(),
 			account:  ledger.NewAccount(0),
 		}
@@ -173,6 +173,7 @@
 		return nil, reasonNoRun
 	}
 	r := *parent
+	r.began = now
 	r.deadline = min(r.deadline, now+p.Target())
 	return &r, ""
 }
--- a/depot/node.go
+++ b/depot/node.go
@@ -148,7 +148,6 @@
 	s := n.settings
 	runs := new(runTable)
 	n.decisions = &decisions{log: n.log}
-	throttle := booking.NewThrottle(rand.Float64)
 	n.book = record.NewBook(n.clock)
 	n.router = dispatch.NewRouter(s.vm, s.place)
 	hello := portage.Hello{VM: s.vm, Incarnation: n.incarnation}
@@ -160,12 +159,8 @@
 		desk:      n.newDesk(),
 		upstream:  n.upstream,
 		runs:      runs,
-		throttle:  throttle,
-		early:     s.policy.early(),
 		metrics:   n.metrics,
 		repeats:   s.retries.repeats(),
-
-		learnsOnward: n.source != nil,
 	}
 	n.entry = &entry{
 		clock: n.clock,
@@ -178,11 +173,11 @@
 			metrics:   n.metrics,
 			perHop:    s.policy.perHop(),
 			early:     s.policy.early(),
+			desk:      n.owner.desk,
 			grace:     s.adapter.Grace,
 		},
 		runs:     runs,
 		metrics:  n.metrics,
-		throttle: throttle,
 		routes:   s.routes,
 		service:  s.service,
 		identity: s.callers.Identity,
@@ -207,11 +202,15 @@
 
 // newDesk returns the admission desk of the VM's own upstream.
 func (n *Node) newDesk() *booking.Desk {
-	opts := n.settings.policy.desk()
+	u := n.settings.upstream
+	opts := append(n.settings.policy.desk(), booking.WithHeadroom(float64(u.Headroom)/100))
 	if n.source != nil {
 		opts = append(opts, booking.WithOrigins())
 	}
-	return booking.NewDesk(n.settings.upstream.Slots, opts...)
+	if !n.settings.policy.early() {
+		opts = append(opts, booking.WithoutQuotas())
+	}
+	return booking.NewDesk(u.Slots, opts...)
 }
 
 // Run serves until ctx ends, then stops gracefully: it takes no new work,
--- a/depot/order.go
+++ b/depot/order.go
@@ -15,8 +15,9 @@
 	// service runs the work.
 	service    string
 	idempotent bool
-	// target is the time within which the answer is of full use.
-	target clock.Millis
+	// target is the time within which the answer is of full use, and useful its
+	// end.
+	target, useful clock.Millis
 	// trip leads from VM to VM.
 	trip *dispatch.Trip
 	// mayHaveRun is set by a try whose outcome is unknown.
@@ -37,12 +38,14 @@
 	c.Caller = r.caller
 	c.Sum = portage.Checksum(c.Body)
 	target := min(p.Target(), p.Limit())
+	useful := r.began + target
 	return &order{
 		run:        r,
 		call:       c,
 		service:    service,
 		idempotent: p.Idempotent(),
 		target:     target,
+		useful:     useful,
 		maxTries:   p.Tries(),
 		trip: dispatch.NewTrip(dispatch.Request{
 			Service: service,
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -22,11 +22,10 @@
 	// again, doubled up to againPauseLimit, in milliseconds.
 	againPause      clock.Millis = 4
 	againPauseLimit clock.Millis = 32
-	// lateParts is the tenths of its time that a run may take without being a
-	// sign that what it calls is overloaded.
-	lateParts = 8
-	// loadScale is the unit of a load in an answer.
-	loadScale = 1000
+	// loadScale is the unit of a load in an answer, and strainScale that of a
+	// strain.
+	loadScale   = 1000
+	strainScale = 1000
 )
 
 // owner admits the calls of peers and runs them on the upstream.
@@ -37,14 +36,9 @@
 	desk      *booking.Desk
 	upstream  Upstream
 	runs      *runTable
-	throttle  *booking.Throttle
 	metrics   *metrics
-	// learnsOnward is set where onward calls do not name their run.
-	learnsOnward bool
 	// repeats bounds what reaches the upstream again.
 	repeats *ledger.Repeats
-	// early makes the owner refuse calls whose onward calls would fail.
-	early   bool
 	leaving atomic.Bool
 	// closed is set while the upstream takes no new work.
 	closed atomic.Bool
@@ -160,30 +154,34 @@
 		return o.refuse(c, reasonLeaving, deadline)
 	}
 	arrived := o.clock.Now()
-	if _, onward := o.place(c); o.early && !onward && !o.throttle.Admit(arrived, c.Group) {
-		return o.refuse(c, reasonOnward, deadline)
-	}
 	b := newBooking(c, deadline)
 	v := o.desk.Admit(arrived, b)
 	if v == booking.VerdictQueued {
 		v = o.queued(ctx, b)
 	}
 	o.metrics.verdict(v)
+	var a *portage.Answer
 	switch v {
 	case booking.VerdictStart:
-		return o.start(ctx, c, b, arrived, deadline)
+		a = o.start(ctx, c, b, arrived, deadline)
 	case booking.VerdictExpired:
-		return o.refuse(c, reasonExpired, deadline)
+		a = o.refuse(c, reasonExpired, deadline)
+	case booking.VerdictOnward:
+		a = o.refuse(c, reasonOnward, deadline)
 	case booking.VerdictBusy:
-		return o.refuse(c, reasonBusy, deadline)
+		a = o.refuse(c, reasonBusy, deadline)
 	case booking.VerdictShed, booking.VerdictQueued:
+		a = o.refuse(c, reasonOverload, deadline)
 	}
-	return o.refuse(c, reasonOverload, deadline)
+	a.Onward = b.Onward()
+	a.Strain = int(o.desk.Strain(o.clock.Now(), b) * strainScale)
+	return a
 }
 
 // refuse answers that a call did not run and will not.
 func (o *owner) refuse(c *portage.Call, reason string, deadline clock.Millis) *portage.Answer {
-	o.decisions.refused(c, reason, o.clock.Now(), deadline, o.desk.Stats())
+	now := o.clock.Now()
+	o.decisions.refused(c, reason, now, deadline, o.desk.Stats(), o.desk.KindStats(now, c.Group))
 	return notRun(reason, c.Grant)
 }
 
@@ -202,9 +200,13 @@
 func newBooking(c *portage.Call, deadline clock.Millis) *booking.Call {
 	b := booking.NewCall(classOf(c), c.Group, c.Caller, deadline)
 	b.SetOrigin(c.Origin)
+	b.SetUseful(deadline - clock.Millis(c.TimeLeftMS-c.UsefulMS))
 	if c.Onward {
 		b.SetOnward()
 	}
+	if c.Ticket != "" {
+		b.SetOnce()
+	}
 	if c.PatienceMS > 0 {
 		b.SetPatience(clock.Millis(c.PatienceMS))
 	}
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
@@ -40,10 +41,9 @@
 	res := o.run(ctx, c, id, deadline)
 	o.runs.remove(id)
 	ended := o.clock.Now()
-	if o.learnsOnward {
-		o.throttle.Note(ended, c.Group, failedRun(res) || ended-now > (deadline-now)*lateParts/10)
+	if hold := o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline)); hold > 0 {
+		time.AfterFunc(hold.Duration(), func() { o.desk.Release(o.clock.Now(), b) })
 	}
-	o.desk.Done(ended, b, resultOf(ctx, res, ended > deadline))
 	o.metrics.run(res.Outcome, ended-now)
 	o.decisions.ran(c, res, now-arrived, ended-now, deadline-ended)
 	return &portage.Answer{
@@ -86,8 +86,10 @@
 // resultOf classifies the end of a run for the concurrency limit.
 func resultOf(ctx context.Context, res RunResult, late bool) booking.Result {
 	switch {
-	case res.Outcome == portage.OutcomeAnswered && !late:
+	case res.Outcome == portage.OutcomeAnswered && !late && res.Status < http.StatusInternalServerError:
 		return booking.ResultOK
+	case res.Outcome == portage.OutcomeAnswered && !late:
+		return booking.ResultError
 	case res.Reason == reasonOverload || late:
 		return booking.ResultOverload
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/depot/run.go
+++ b/depot/run.go
@@ -20,6 +20,7 @@
 	class    booking.Class
 	group    string
 	caller   string
+	began    clock.Millis
 	deadline clock.Millis
 	account  *ledger.Account
 }
--- a/depot/sender.go
+++ b/depot/sender.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync"
 
+	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
 	"cuminhollow.example/dispatch"
 	"cuminhollow.example/ledger"
@@ -22,6 +23,8 @@
 	perHop bool
 	// early makes the node heed the admission levels of owners.
 	early bool
+	// desk learns how full the services are that the VM's own upstream calls.
+	desk *booking.Desk
 	// grace is how long after its deadline the answer of a call is still
 	// awaited, in milliseconds.
 	grace clock.Millis
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -49,6 +49,8 @@
 	Address     string `yaml:"address"`
 	Slots       int    `yaml:"slots"`
 	Connections int    `yaml:"connections"`
+	// Headroom is the part of the slots that is left free, in percent.
+	Headroom int `yaml:"headroom_percent"`
 }
 
 type callerSettings struct {
--- a/depot/settings_check.go
+++ b/depot/settings_check.go
@@ -11,6 +11,9 @@
 	"strings"
 )
 
+// maxHeadroom is the largest part of the slots that may be left free, in percent.
+const maxHeadroom = 50
+
 // settingsCheck collects the faults of one settings file.
 type settingsCheck struct {
 	name   string
@@ -63,6 +66,9 @@
 		c.positive("slots", f.Upstream.Slots)
 		c.positive("connections", f.Upstream.Connections)
 	}
+	if h := f.Upstream.Headroom; h < 0 || h > maxHeadroom {
+		c.fail(c.line("upstream", "headroom_percent"), "upstream.headroom_percent must be 0 to %d", maxHeadroom)
+	}
 	if f.Upstream.Connections < f.Upstream.Slots {
 		c.fail(c.line("upstream", "connections"), "upstream.connections %d is less than upstream.slots %d",
 			f.Upstream.Connections, f.Upstream.Slots)
--- a/depot/settings_test.go
+++ b/depot/settings_test.go
@@ -58,6 +58,7 @@
 		{"service with a space", "service: sealing", "service: sea ling", `s.yaml:2: service "sea ling" must be`},
 		{"unknown method", "method: POST", "method: FETCH", `method "FETCH" is not one of HTTP`},
 		{"host name", "address: 127.0.0.1:8001", "address: upstream.example:8001", `s.yaml:11: upstream.address "upstream.example:8001" must have an IP address`},
+		{"headroom", "slots: 70", "slots: 70\n  headroom_percent: 80", "s.yaml:13: upstream.headroom_percent must be 0 to 50"},
 		{"share", "transport:", "retries: {share: 2}\ntransport:", "retries needs a share"},
 		{"stop", "transport:", "stop: {within_s: -1}\ntransport:", "stop.within_s must be"},
 		{"heap", "transport:", "heap_growth_percent: -5\ntransport:", "heap_growth_percent must be"},
--- a/depot/work.go
+++ b/depot/work.go
@@ -79,13 +79,15 @@
 func (e *entry) order(ctx context.Context, w *Work) *order {
 	p := w.Policy
 	class := booking.ClassOf(p.Protected() || w.Onward, p.Rank())
+	now := e.clock.Now()
 	r := &run{
 		ctx:      ctx,
 		request:  w.ID,
 		class:    class,
 		group:    p.Name(),
 		caller:   w.Caller,
-		deadline: e.clock.Now() + w.Left,
+		began:    now,
+		deadline: now + w.Left,
 		account:  ledger.NewAccount(p.ExtraTries()),
 	}
 	return newOrder(r, p, p.ServiceAt(rand.Float64()), portage.Call{
--- a/portage/message.go
+++ b/portage/message.go
@@ -107,6 +107,9 @@
 	Caller string
 	// TimeLeftMS is the time until the deadline, in milliseconds.
 	TimeLeftMS int64
+	// UsefulMS is the time until the answer is no longer of full use, in
+	// milliseconds.
+	UsefulMS int64
 	// PatienceMS is the longest wait for a slot with which the call is not
 	// better sent elsewhere, in milliseconds; 0 for no bound.
 	PatienceMS int64
@@ -173,6 +176,11 @@
 	WaitMS, RunMS int64
 	// Load is the share of the upstream's slots in use, in thousandths.
 	Load int
+	// Onward tells that the call was made for work that runs already.
+	Onward bool
+	// Strain is the share of calls like this one that find a service full, in
+	// thousandths.
+	Strain int
 	// Reached tells that the call was sent to the upstream.
 	Reached bool
 	// RetryAfterMS is when another try may be of use, in milliseconds.
