depot, platform: a node without answers from the store learns from other nodes

Cause: a node that starts while the store is away answered 503 until it was back, and one that is cut off missed what changed. Change: such a node asks others, or seeds, for a copy of what they know, with the store's revision; when the store answers again everything is read anew.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,8 +26,13 @@
 	sink chan Sink
 	run  func(ctx context.Context, c *portage.Call) RunResult
 	runs atomic.Int64
-	stop context.CancelFunc
-	done chan error
+	away atomic.Bool
+	// asked counts the copies made.
+	asked atomic.Int64
+	// knows is what the source would copy; its length is the revision.
+	knows atomic.Pointer[string]
+	stop  context.CancelFunc
+	done  chan error
 }
 
 func (a *adapterStandIn) Follow(ctx context.Context, s Sink) error {
@@ -35,6 +41,26 @@
 	return nil
 }
 
+func (a *adapterStandIn) Away() bool { return a.away.Load() }
+
+func (a *adapterStandIn) Copy() (uint64, []byte) {
+	a.asked.Add(1)
+	if text := a.knows.Load(); text != nil {
+		return uint64(len(*text)), []byte(*text)
+	}
+	return 0, nil
+}
+
+func (a *adapterStandIn) Adopt(s Sink, _ uint64, text []byte) error {
+	if string(text) == "damaged" {
+		return errors.New("damaged")
+	}
+	known := string(text)
+	a.knows.Store(&known)
+	s.Configure(record.NewConfiguration(uint64(len(text)), nil, record.Limits{}))
+	return nil
+}
+
 func (a *adapterStandIn) Run(ctx context.Context, c *portage.Call, _ string, _ clock.Millis) RunResult {
 	a.runs.Add(1)
 	return a.run(ctx, c)
--- /dev/null
+++ b/depot/borrow.go
@@ -0,0 +1,92 @@
+package depot
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
+	"cuminhollow.example/portage"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// borrowPause is the mean pause between two questions to other nodes.
+	borrowPause = 300 * time.Millisecond
+	// borrowTimeout bounds one question.
+	borrowTimeout = time.Second
+)
+
+// borrower asks other nodes for what they know while the node's own source gets
+// no answers: a node that starts then would have no routes, and one that runs
+// would miss what changes.
+type borrower struct {
+	source Source
+	sink   Sink
+	router *dispatch.Router
+	peers  *peers
+	// seeds are the addresses of nodes to ask when no VM is known.
+	seeds []string
+	log   zerolog.Logger
+}
+
+// run asks one node at a time until ctx ends.
+func (b *borrower) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, borrowPause/2+rand.N(borrowPause))
+		if b.source.Away() && ctx.Err() == nil {
+			b.ask(ctx)
+		}
+	}
+	return nil
+}
+
+// ask asks a random node that is known, or a seed, and adopts what is newer.
+func (b *borrower) ask(ctx context.Context) {
+	p := b.lender()
+	if p == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	link, err := p.connect(ctx)
+	if err != nil {
+		return
+	}
+	known, _ := b.source.Copy()
+	r, err := link.Do(ctx, &portage.Copy{After: known})
+	c, ok := r.(*portage.Copied)
+	if err != nil || !ok || len(c.Text) == 0 {
+		return
+	}
+	if err := b.source.Adopt(b.sink, c.Revision, c.Text); err != nil {
+		b.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
+		return
+	}
+	b.log.Info().Str("event", "copy-adopted").Str("vm", p.vm).Uint64("from", known).Uint64("to", c.Revision).Send()
+}
+
+// lender returns the node to ask; nil when none is known.
+func (b *borrower) lender() *peer {
+	if v, ok := b.router.Any(); ok {
+		return b.peers.get(v.Name(), v.Address())
+	}
+	if len(b.seeds) == 0 {
+		return nil
+	}
+	address := b.seeds[rand.IntN(len(b.seeds))]
+	return b.peers.get(address, address)
+}
+
+// copied answers a Copy.
+func (n *Node) copied(q *portage.Copy) *portage.Copied {
+	out := &portage.Copied{}
+	if n.source == nil {
+		return out
+	}
+	if revision, text := n.source.Copy(); revision > q.After {
+		out.Revision, out.Text = revision, text
+	}
+	return out
+}
--- a/depot/node.go
+++ b/depot/node.go
@@ -64,6 +64,8 @@
 	// listed is set once the VM's own upstream was in a list.
 	listed atomic.Bool
 	source Source
+	// seeds are the addresses of nodes that a node without any list asks.
+	seeds  []string
 	front  func(Carrier) http.Handler
 	reload func(*Settings)
 	// upstream runs calls on the VM's own upstream.
@@ -95,6 +97,12 @@
 	return func(n *Node) { n.source = s }
 }
 
+// WithSeeds sets the peer addresses of nodes that a node asks when its source
+// gets no answers and it knows no VM; the default is the seeds of the settings.
+func WithSeeds(addresses []string) Option {
+	return func(n *Node) { n.seeds = addresses }
+}
+
 // WithFront sets what takes the calls of callers and of the VM's own upstream;
 // the default is the product's own HTTP interface.
 func WithFront(front func(Carrier) http.Handler) Option {
@@ -115,6 +123,7 @@
 		log:         zerolog.Nop(),
 		bodyTimeout: defaultBodyTimeout,
 		incarnation: newIncarnation(),
+		seeds:       s.seeds,
 	}
 	for _, o := range opts {
 		o(n)
@@ -193,7 +202,7 @@
 		platform: newPlatform(s.platform),
 		schedule: registry.NewSchedule(rand.Float64),
 		log:      n.log,
-		seeds:    s.seeds,
+		seeds:    n.seeds,
 		fresh:    make(chan *record.Document, freshQueue),
 	}
 	n.spread.fleet.Store(registry.NewFleet(s.vm, s.place.Zone, n.book.Snapshot()))
@@ -263,6 +272,8 @@
 // serveSource serves an adapter's interface by what its source tells.
 func (n *Node) serveSource(ctx context.Context, g *errgroup.Group, l *listeners) []*http.Server {
 	g.Go(func() error { return n.source.Follow(ctx, n) })
+	b := &borrower{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log}
+	g.Go(func() error { return b.run(ctx) })
 	servers := []*http.Server{n.serveHTTP(g, l.callers, n.front(n))}
 	if l.ready != nil {
 		servers = append(servers, n.serveHTTP(g, l.ready, http.HandlerFunc(n.readiness)))
@@ -308,6 +319,8 @@
 		return n.spread.listing(q)
 	case *portage.Fetch:
 		return n.spread.documents(q)
+	case *portage.Copy:
+		return n.copied(q)
 	default:
 		return nil
 	}
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -129,6 +129,9 @@
 // Adapter returns the settings of the adapter.
 func (s *Settings) Adapter() AdapterSettings { return s.adapter }
 
+// Seeds returns the addresses of nodes that are asked when no other is known.
+func (s *Settings) Seeds() []string { return s.seeds }
+
 // Upstream returns the address of the VM's upstream.
 func (s *Settings) Upstream() string { return s.upstream.Address }
 
--- a/depot/source.go
+++ b/depot/source.go
@@ -11,6 +11,14 @@
 type Source interface {
 	// Follow reports what it learns to the sink until ctx ends.
 	Follow(ctx context.Context, s Sink) error
+	// Away reports whether the source gets no answers at present.
+	Away() bool
+	// Copy returns all that the source knows as text, with a revision that grows
+	// with what is known; 0 when it knows nothing.
+	Copy() (uint64, []byte)
+	// Adopt takes over a copy that the source of another node made, unless it
+	// knows as much itself, and reports it to the sink.
+	Adopt(s Sink, revision uint64, text []byte) error
 }
 
 // Sink takes what a Source learns. It is safe for concurrent use.
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -171,6 +171,18 @@
 	return Pick{}, &Error{Op: "pick", Kind: kind, Service: q.Service}
 }
 
+// Any returns a random VM of all services; none when no VM is listed.
+func (r *Router) Any() (record.VM, bool) {
+	var vms []record.VM
+	for _, p := range *r.plans.Load() {
+		vms = append(vms, p.roster.VMs()...)
+	}
+	if len(vms) == 0 {
+		return record.VM{}, false
+	}
+	return vms[r.random(len(vms))], true
+}
+
 // Address returns the address of a VM of a service, in whatever state it is.
 func (r *Router) Address(service, vm string) (string, bool) {
 	p := (*r.plans.Load())[service]
--- a/portage/message.go
+++ b/portage/message.go
@@ -18,6 +18,8 @@
 	typeFetch
 	typeDocuments
 	typePush
+	typeCopy
+	typeCopied
 )
 
 // Message is any message between nodes. The fields of messages are exported
@@ -251,6 +253,19 @@
 	Documents []Published
 }
 
+// Copy asks for what a node's source knows, if it is newer than a revision.
+type Copy struct {
+	stream
+	After uint64
+}
+
+// Copied answers Copy. Text is empty when the node knows nothing newer.
+type Copied struct {
+	stream
+	Revision uint64
+	Text     []byte
+}
+
 func (*Hello) messageType() messageType     { return typeHello }
 func (*Welcome) messageType() messageType   { return typeWelcome }
 func (*Ping) messageType() messageType      { return typePing }
@@ -266,14 +281,19 @@
 func (*Documents) messageType() messageType { return typeDocuments }
 func (*Push) messageType() messageType      { return typePush }
 
+func (*Copy) messageType() messageType   { return typeCopy }
+func (*Copied) messageType() messageType { return typeCopied }
+
 func (*Call) isRequest()     {}
 func (*Query) isRequest()    {}
 func (*Exchange) isRequest() {}
 func (*Fetch) isRequest()    {}
+func (*Copy) isRequest()     {}
 
 func (*Answer) isResponse()    {}
 func (*Listing) isResponse()   {}
 func (*Documents) isResponse() {}
+func (*Copied) isResponse()    {}
 
 func (*Leaving) isNotice() {}
 func (*Push) isNotice()    {}
@@ -308,6 +328,10 @@
 		return new(Documents)
 	case typePush:
 		return new(Push)
+	case typeCopy:
+		return new(Copy)
+	case typeCopied:
+		return new(Copied)
 	default:
 		return nil
 	}
