--- a/cuminhollow/main.go
+++ b/cuminhollow/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -34,6 +35,7 @@
 		Usage:   "operators' `ADDRESS` of a node; may be repeated or separated by commas",
 		Sources: cli.EnvVars("CUMINHOLLOW_NODES"),
 	}
+	times := cli.TimestampConfig{Layouts: []string{time.RFC3339Nano}}
 	output := &cli.StringFlag{Name: "output", Value: outputTable, Usage: "`FORMAT` of the output: table or json"}
 	report := func(name, usage, args string, action cli.ActionFunc) *cli.Command {
 		return &cli.Command{
@@ -67,7 +69,12 @@
 			},
 			{
 				Name: "why", Usage: "count refusals, failures and late answers in logs by their cause",
-				ArgsUsage: "[FILE...]", Flags: []cli.Flag{output}, Action: why,
+				ArgsUsage: "[FILE...]", Action: why, Flags: []cli.Flag{
+					output,
+					&cli.TimestampFlag{Name: "from", Usage: "leave out what ended before `TIME`", Config: times},
+					&cli.TimestampFlag{Name: "to", Usage: "leave out what ended at `TIME` or later", Config: times},
+					&cli.StringFlag{Name: "plot", Usage: "draw the endings of each second into `FILE` (.svg or .png)"},
+				},
 			},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				_, err := fmt.Fprintln(out, version)
--- a/cuminhollow/trace.go
+++ b/cuminhollow/trace.go
@@ -18,6 +18,8 @@
 	eventRefused  = "refused"
 	eventMoved    = "moved"
 	eventRetried  = "retried"
+	// eventTurnedAway is a call refused before it became work.
+	eventTurnedAway = "turned-away"
 )
 
 // The outcomes of a request in the logs.
@@ -71,7 +73,7 @@
 // but a call is answered last.
 func order(event string) int {
 	switch event {
-	case eventAnswered:
+	case eventAnswered, eventTurnedAway:
 		return 2
 	case eventMoved, eventRetried:
 		return 1
@@ -112,6 +114,8 @@
 		return fmt.Sprintf("status %s after %s ms of %s, %s tries", l.Fields["status"], l.Fields["took_ms"], l.Fields["target_ms"], l.Fields["tries"])
 	case eventRan:
 		return fmt.Sprintf("status %s, queued %s ms, ran %s ms, %s ms left", l.Fields["status"], l.Fields["queued_ms"], l.Fields["ran_ms"], l.Fields["left_ms"])
+	case eventTurnedAway:
+		return fmt.Sprintf("status %s", l.Fields["status"])
 	case eventRefused:
 		return fmt.Sprintf("%s of %s slots in use, %s waiting, mean run %s ms, %s ms left", l.Fields["running"], l.Fields["limit"], l.Fields["waiting"], l.Fields["mean_ms"], l.Fields["left_ms"])
 	default:
@@ -131,10 +135,13 @@
 
 // explain says in a sentence why a call ended as it did.
 func (s *story) explain(id string) string {
-	a := s.last(id, eventAnswered)
+	a := s.last(id, eventAnswered, eventTurnedAway)
 	if a == nil {
 		return "No line tells how it ended: of ordinary successes only a sample is logged, or the log of its entry is missing."
 	}
+	if a.Event == eventTurnedAway {
+		return explainTurnedAway(a)
+	}
 	switch a.Fields["outcome"] {
 	case outcomeNotRun:
 		return s.explainRefusal(id, a)
@@ -159,13 +166,15 @@
 	}
 	switch reason := a.Fields["reason"]; reason {
 	case "onward-overload":
-		return "It did not run: calls that such work makes further down were failing or too slow, as " + where + " had seen."
+		return "It did not run: services that such work calls further down are full, or most of such work fails, as " + where + " had learned."
 	case "overload", "busy":
 		return "It did not run: no slot would have been free in time at " + where + "."
 	case "expired":
 		return "It did not run: its time was over before a slot was free at " + where + "."
 	case "leaving":
 		return "It did not run: the VMs that were asked are leaving."
+	case "server-refused", "no-tries-left":
+		return "It did not run: the upstream refused it and the bound on repeats left no other try, at " + where + "."
 	case "no-vm":
 		return "It did not run: no VM of service " + a.Fields["service"] + " takes work."
 	default:
@@ -173,6 +182,23 @@
 	}
 }
 
+// explainTurnedAway says why a call never became work.
+func explainTurnedAway(a *line) string {
+	why := a.Fields["reason"]
+	switch why {
+	case "no-configuration":
+		why = "the node had just started and knew no routes yet"
+	case "stopping":
+		why = "the node was stopping and took no calls any more"
+	case "no-route":
+		why = "no route of version " + a.Fields["version"] + " fits its host and path"
+	case "bad-header":
+		why = "its id is missing or its deadline cannot be read"
+	default:
+	}
+	return fmt.Sprintf("It did not run: it was answered %s at its entry, since %s.", a.Fields["status"], why)
+}
+
 func (s *story) explainUnknown(id string, a *line) string {
 	r := s.last(id, eventRan)
 	if r == nil {
--- a/cuminhollow/why.go
+++ b/cuminhollow/why.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -20,13 +21,20 @@
 	Example string `json:"example"`
 }
 
+// within reports whether a time lies in a span; a zero end is no bound.
+func within(at, from, to time.Time) bool {
+	return (from.IsZero() || !at.Before(from)) && (to.IsZero() || at.Before(to))
+}
+
 // why counts refusals, failures and late answers by their cause.
 func why(_ context.Context, c *cli.Command) error {
 	found := make(map[ending]*ending)
+	seconds := new(timeline)
 	err := readLines(c, c.Args().Slice(), func(l *line) {
-		if l.Event != eventAnswered {
+		if l.Event != eventAnswered && l.Event != eventTurnedAway || !within(l.Time, c.Timestamp("from"), c.Timestamp("to")) {
 			return
 		}
+		seconds.add(l)
 		key := ending{Kind: l.Fields["kind"], Outcome: l.Fields["outcome"], Reason: l.Fields["reason"], Status: l.number("status")}
 		late := l.number("took_ms") > l.number("target_ms")
 		if failed(l) == 0 {
@@ -47,6 +55,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if path := c.String("plot"); path != "" {
+		if err := seconds.plot(path); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	endings := make([]*ending, 0, len(found))
 	for _, e := range found {
 		endings = append(endings, e)
--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -41,6 +41,8 @@
 	return nil
 }
 
+func (a *adapterStandIn) Age() clock.Millis { return 0 }
+
 func (a *adapterStandIn) Away() bool { return a.away.Load() }
 
 func (a *adapterStandIn) Copy() (uint64, []byte) {
--- a/depot/decisions.go
+++ b/depot/decisions.go
@@ -28,11 +28,11 @@
 	if d.successes.Add(1)%sampleSuccess != 0 {
 		return nil
 	}
-	return d.log.Debug()
+	return d.log.Debug().Int("sample", sampleSuccess)
 }
 
 // answered notes what a caller was told. Version is that of the routes.
-func (d *decisions) answered(o *order, a *portage.Answer, took clock.Millis, version uint64) {
+func (d *decisions) answered(o *order, a *portage.Answer, took clock.Millis, version int64) {
 	var e *zerolog.Event
 	late := o.target > 0 && took > o.target
 	switch {
@@ -45,7 +45,14 @@
 		Str("service", o.service).Str("vm", o.call.VM).
 		Stringer("outcome", a.Outcome).Str("reason", a.Reason).Int("status", a.Status).
 		Int64("took_ms", int64(took)).Int64("target_ms", int64(o.target)).
-		Int("tries", o.trip.Tries()).Int("moves", o.trip.Moves()).Uint64("version", version).Send()
+		Int("tries", o.trip.Tries()).Int("moves", o.trip.Moves()).Int64("version", version).Send()
+}
+
+// turnedAway notes that a call was refused before it became work.
+func (d *decisions) turnedAway(id string, status int, reason string, version int64) {
+	d.log.Info().Str("event", "turned-away").Str("id", id).
+		Stringer("outcome", portage.OutcomeNotRun).Str("reason", reason).Int("status", status).
+		Int64("version", version).Send()
 }
 
 // passedOn notes that a call goes on to another VM, or to the same one again.
--- a/depot/metrics.go
+++ b/depot/metrics.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	runtimemetrics "runtime/metrics"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
+	"cuminhollow.example/dispatch"
 	"cuminhollow.example/portage"
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -26,6 +28,8 @@
 	verdicts metric.Int64Counter
 	runs     metric.Float64Histogram
 	asks     metric.Int64Counter
+	queued   metric.Float64Histogram
+	placed   metric.Int64Counter
 }
 
 func newMetrics() (*metrics, error) {
@@ -59,19 +63,34 @@
 	if err != nil {
 		return err
 	}
+	m.placed, err = m.meter.Int64Counter("cuminhollow.placed",
+		metric.WithDescription("Attempts of calls, by service and by the distance of the VM."),
+		metric.WithUnit("{call}"))
+	if err != nil {
+		return err
+	}
+	m.queued, err = m.meter.Float64Histogram("cuminhollow.queue.duration",
+		metric.WithDescription("Time that calls waited for a slot, by kind."),
+		metric.WithUnit("ms"))
+	if err != nil {
+		return err
+	}
 	m.asks, err = m.meter.Int64Counter("cuminhollow.asks",
 		metric.WithDescription("Tickets presented again after a lost connection."),
 		metric.WithUnit("{message}"))
 	return err
 }
 
-// observe reports the state of the desk, the claim table and the connections
-// between nodes at each scrape.
-func (m *metrics) observe(o *owner, traffic *portage.Traffic) error {
-	for _, g := range []struct {
-		name, description, unit string
-		value                   func() int64
-	}{
+// gauge is a value that is asked for at each scrape.
+type gauge struct {
+	name, description, unit string
+	value                   func() int64
+}
+
+// observe reports the state of the node at each scrape.
+func (m *metrics) observe(n *Node) error {
+	o, traffic := n.owner, &n.traffic
+	gauges := append([]gauge{
 		{"cuminhollow.limit", "Concurrency limit of the upstream.", "{call}", func() int64 { return int64(o.desk.Stats().Limit) }},
 		{"cuminhollow.running", "Calls that run on the upstream.", "{call}", func() int64 { return int64(o.desk.Stats().Running) }},
 		{"cuminhollow.waiting", "Calls that wait for the upstream.", "{call}", func() int64 { return int64(o.desk.Stats().Waiting) }},
@@ -79,7 +98,18 @@
 		{"cuminhollow.control.bytes", "Bytes sent to peers besides calls and answers, since the start.", "By", traffic.ControlBytes},
 		{"cuminhollow.control.messages", "Messages sent to peers besides calls and answers, since the start.", "{message}", traffic.ControlMessages},
 		{"cuminhollow.call.bytes", "Bytes of calls and answers sent to peers, since the start.", "By", traffic.CallBytes},
-	} {
+		{"cuminhollow.repeats_left", "Requests that may reach the upstream again at once.", "{request}", func() int64 { return int64(o.repeats.Left(n.clock.Now())) }},
+		{"cuminhollow.strain", "Onward calls of the upstream that find a service full, in thousandths.", "{call}", func() int64 { return int64(o.desk.KindStats(n.clock.Now(), "").Strain * strainScale) }},
+		{"cuminhollow.heap", "Live heap.", "By", heapBytes},
+	}, n.gauges...)
+	if n.source != nil {
+		gauges = append(gauges,
+			gauge{"cuminhollow.configuration.version", "Version of the routes in force.", "{version}", n.version},
+			gauge{"cuminhollow.configuration.age", "Time since the routes in force were taken.", "ms", func() int64 { return int64(n.clock.Now()) - n.configuredAt.Load() }},
+			gauge{"cuminhollow.source.age", "Time since the source of routes and VMs last answered.", "ms", func() int64 { return int64(n.source.Age()) }},
+		)
+	}
+	for _, g := range gauges {
 		_, err := m.meter.Int64ObservableGauge(g.name,
 			metric.WithDescription(g.description),
 			metric.WithUnit(g.unit),
@@ -94,6 +124,13 @@
 	return nil
 }
 
+// heapBytes returns the size of the live heap without stopping the process.
+func heapBytes() int64 {
+	sample := []runtimemetrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	runtimemetrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
 // handler serves the metrics in the Prometheus format.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -119,4 +156,14 @@
 		metric.WithAttributes(attribute.String("outcome", o.String())))
 }
 
+func (m *metrics) sent(service string, t dispatch.Tier) {
+	m.placed.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", service),
+		attribute.String("distance", t.String())))
+}
+
+func (m *metrics) waited(kind string, span clock.Millis) {
+	m.queued.Record(context.Background(), float64(span), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 func (m *metrics) asked() { m.asks.Add(context.Background(), 1) }
--- a/depot/node.go
+++ b/depot/node.go
@@ -57,6 +57,10 @@
 	// routes is the configuration in force; nil before the first one, and
 	// without a Source.
 	routes atomic.Pointer[record.Configuration]
+	// configuredAt is when the configuration in force was taken, on the clock.
+	configuredAt atomic.Int64
+	// gauges are values of the program's own.
+	gauges []gauge
 	// stopping is set from the beginning of a planned stop.
 	stopping atomic.Bool
 	// closed is set when a planned stop takes no calls any more.
@@ -97,6 +101,12 @@
 	return func(n *Node) { n.source = s }
 }
 
+// WithGauge adds a metric of the program's own: a value that is asked for at
+// each scrape.
+func WithGauge(name, description, unit string, value func() int64) Option {
+	return func(n *Node) { n.gauges = append(n.gauges, gauge{name, description, unit, value}) }
+}
+
 // WithSeeds sets the peer addresses of nodes that a node asks when its source
 // gets no answers and it knows no VM; the default is the seeds of the settings.
 func WithSeeds(addresses []string) Option {
@@ -141,7 +151,7 @@
 		return nil, err
 	}
 	n.build()
-	if err := m.observe(n.owner, &n.traffic); err != nil {
+	if err := m.observe(n); err != nil {
 		return nil, &Error{Op: "set up metrics", Kind: KindSettings, Err: err}
 	}
 	return n, nil
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -16,6 +16,7 @@
 // start runs a call that has a slot.
 func (o *owner) start(ctx context.Context, c *portage.Call, b *booking.Call, arrived, deadline clock.Millis) *portage.Answer {
 	now := o.clock.Now()
+	o.metrics.waited(c.Kind, now-arrived)
 	if now >= deadline || ctx.Err() != nil {
 		o.desk.Done(now, b, booking.ResultCancelled)
 		return o.refuse(c, reasonExpired, deadline)
--- a/depot/sender.go
+++ b/depot/sender.go
@@ -81,6 +81,7 @@
 	}
 	o.call.VM = pick.VM.Name()
 	o.call.PatienceMS = int64(o.trip.Patience())
+	s.metrics.sent(o.service, pick.Tier)
 	if o.trip.Tries() == 1 {
 		s.bucket(o.service).Fresh()
 	}
--- a/depot/source.go
+++ b/depot/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cuminhollow.example/clock"
 	"cuminhollow.example/record"
 )
 
@@ -11,6 +12,8 @@
 type Source interface {
 	// Follow reports what it learns to the sink until ctx ends.
 	Follow(ctx context.Context, s Sink) error
+	// Age is the time since the source last had an answer.
+	Age() clock.Millis
 	// Away reports whether the source gets no answers at present.
 	Away() bool
 	// Copy returns all that the source knows as text, with a revision that grows
@@ -40,10 +43,19 @@
 			break
 		}
 	}
+	n.configuredAt.Store(int64(n.clock.Now()))
 	n.ready.Store(true)
 	n.log.Info().Str("event", "configuration").Uint64("version", c.Version()).Int("routes", c.Routes()).Send()
 }
 
+// version returns the version of the routes in force; 0 before the first.
+func (n *Node) version() int64 {
+	if c := n.routes.Load(); c != nil {
+		return int64(c.Version())
+	}
+	return 0
+}
+
 // List implements Sink.
 func (n *Node) List(rosters []*record.Roster) {
 	var own *record.VM
--- a/depot/work.go
+++ b/depot/work.go
@@ -36,6 +36,8 @@
 	// Carry sends the work to a VM that runs it. The context ends when the
 	// caller does not wait any more.
 	Carry(ctx context.Context, w *Work) *portage.Answer
+	// TurnedAway notes a call that was refused before it became work.
+	TurnedAway(id string, status int, reason string)
 	// Configuration returns the routes in force; nil before there are any.
 	Configuration() *record.Configuration
 	// Leaving tells that the node stops: connections are not kept.
@@ -53,15 +55,17 @@
 	began := n.clock.Now()
 	o := n.entry.order(ctx, w)
 	a := n.entry.sender.send(o)
-	version := uint64(0)
-	if c := n.routes.Load(); c != nil {
-		version = c.Version()
-	}
-	n.decisions.answered(o, a, n.clock.Now()-began, version)
+	n.decisions.answered(o, a, n.clock.Now()-began, n.version())
 	n.metrics.outcome(w.Policy.Name(), a.Outcome, a.Reason)
 	return a
 }
 
+// TurnedAway implements Carrier.
+func (n *Node) TurnedAway(id string, status int, reason string) {
+	n.decisions.turnedAway(id, status, reason, n.version())
+	n.metrics.outcome("", portage.OutcomeNotRun, reason)
+}
+
 // Configuration implements Carrier.
 func (n *Node) Configuration() *record.Configuration { return n.routes.Load() }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,6 +17,20 @@
 	tiers = 3
 )
 
+// String returns the name used in metrics.
+func (t Tier) String() string {
+	switch t {
+	case TierZone:
+		return "zone"
+	case TierRegion:
+		return "region"
+	case TierFar:
+		return "far"
+	default:
+		return "unknown"
+	}
+}
+
 // tierOf returns how far other is from p.
 func (p Place) tierOf(other Place) Tier {
 	switch {
--- a/ledger/repeats.go
+++ b/ledger/repeats.go
@@ -75,6 +75,20 @@
 	return true
 }
 
+// Left returns how many repeats may be taken at once at a time.
+func (r *Repeats) Left(now clock.Millis) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slot(now)
+	sums := r.sums()
+	r.paced(now, sums)
+	left := r.ready
+	for slot := oldestSlot; slot < repeatHistory; slot++ {
+		left = min(left, r.allowed(sums, slot)-(sums[repeatHistory].again-sums[slot].again))
+	}
+	return int(max(0, left))
+}
+
 // repeatSums holds, for each slot, the oldest first, the counts of all slots
 // before it.
 type repeatSums [repeatHistory + 1]repeatSlot
--- a/ledger/repeats_test.go
+++ b/ledger/repeats_test.go
@@ -115,6 +115,9 @@
 	if got, want := spend(0), 2; got != want {
 		t.Errorf("idle: got %d repeats, want %d", got, want)
 	}
+	if got, want := r.Left(1000), 0; got != want {
+		t.Errorf("left after that: got %d, want %d", got, want)
+	}
 	if got, want := spend(5000), 2; got != want {
 		t.Errorf("five windows later: got %d, want %d", got, want)
 	}
--- a/node/main.go
+++ b/node/main.go
@@ -69,7 +69,10 @@
 	defer out.flush()
 	log := zerolog.New(out).With().Timestamp().Logger()
 	log.Info().Str("event", "start").Str("version", version).Str("vm", s.VM()).Str("service", s.Service()).Send()
-	opts := []depot.Option{depot.WithLogger(log)}
+	opts := []depot.Option{
+		depot.WithLogger(log),
+		depot.WithGauge("cuminhollow.log.dropped", "Lines left out of the log since the start.", "{line}", out.left.Load),
+	}
 	if s.Adapter().Name == platform.Name {
 		opts = append(opts, platform.Options(s, log)...)
 	}
--- a/node/output.go
+++ b/node/output.go
@@ -29,6 +29,8 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Uint64
+	// left counts the lines left out since the start.
+	left atomic.Int64
 	// last receives a channel that is closed when the lines before it are
 	// written.
 	last chan chan struct{}
@@ -54,17 +56,22 @@
 func (o *output) WriteLevel(level zerolog.Level, line []byte) (int, error) {
 	spare := level > zerolog.DebugLevel || o.limit.Tokens() > linesBurst/2
 	if level < zerolog.WarnLevel && (!spare || !o.limit.Allow()) {
-		o.dropped.Add(1)
+		o.leaveOut()
 		return len(line), nil
 	}
 	select {
 	case o.lines <- append([]byte(nil), line...):
 	default:
-		o.dropped.Add(1)
+		o.leaveOut()
 	}
 	return len(line), nil
 }
 
+func (o *output) leaveOut() {
+	o.dropped.Add(1)
+	o.left.Add(1)
+}
+
 // flush writes what waits, for at most flushTimeout: the last lines of a process
 // are those that tell why it ended.
 func (o *output) flush() {
