--- a/kiln/result.go
+++ b/kiln/result.go
@@ -118,8 +118,8 @@
 // All returns the count of all kinds over the requests of a span.
 func (r *Result) All(s Span) Count {
 	var out Count
-	for name := range r.counts {
-		out.add(r.Kind(name, s))
+	for _, k := range r.plan.Kinds {
+		out.add(r.Kind(k.Name, s))
 	}
 	return out
 }
