depot, registry, platform: one node in 64 of a region reads the store, the others hear from it

Change: registry.Readers chooses the readers from the list; depot.follower hears from one and trusts what it says only as of a time that is a lower bound whatever the message took, else it asks the store at once; platform.source keeps the last 256 changes for followers. TestNoBorrowing lists the other node in another region now: nodes of one region hear from each other by design, and it still wants no question at all.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,39 +28,80 @@
 	run  func(ctx context.Context, c *portage.Call) RunResult
 	runs atomic.Int64
 	away atomic.Bool
-	// asked counts the copies made.
-	asked atomic.Int64
+	// asks counts the questions to the platform, and copies the copies made.
+	asks, copies atomic.Int64
+	started      atomic.Bool
+	// deaf is set while the platform's answers do not arrive.
+	deaf    atomic.Bool
+	heardAt atomic.Int64
+	mu      sync.Mutex
+	news    chan struct{}
 	// knows is what the source would copy; its length is the revision.
 	knows atomic.Pointer[string]
 	stop  context.CancelFunc
 	done  chan error
 }
 
-func (a *adapterStandIn) Follow(ctx context.Context, s Sink) error {
-	a.sink <- s
-	<-ctx.Done()
-	return nil
+// Ask implements Source: the platform has nothing to tell until the wait is over.
+func (a *adapterStandIn) Ask(ctx context.Context, s Sink, wait clock.Millis) {
+	a.asks.Add(1)
+	if !a.started.Swap(true) {
+		a.sink <- s
+	}
+	if wait <= 0 {
+		wait = clock.Second
+	}
+	clock.Sleep(ctx, wait.Duration())
+	if ctx.Err() == nil && !a.deaf.Load() {
+		a.confirm(a.node.clock.Now())
+	}
 }
 
-func (a *adapterStandIn) Age() clock.Millis { return 0 }
+// confirm notes that the source was told something.
+func (a *adapterStandIn) confirm(asOf clock.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heardAt.Store(int64(asOf))
+	close(a.news)
+	a.news = make(chan struct{})
+}
+
+func (a *adapterStandIn) News() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.news
+}
+
+func (a *adapterStandIn) Unsure() bool { return a.away.Load() }
+
+func (a *adapterStandIn) Age() clock.Millis {
+	return a.node.clock.Now() - clock.Millis(a.heardAt.Load())
+}
 
 func (a *adapterStandIn) Away() bool { return a.away.Load() }
 
-func (a *adapterStandIn) Copy() (uint64, []byte) {
-	a.asked.Add(1)
-	if text := a.knows.Load(); text != nil {
-		return uint64(len(*text)), []byte(*text)
+func (a *adapterStandIn) Revision() uint64 { return uint64(len(a.known())) }
+
+func (a *adapterStandIn) Copy(after uint64) Copy {
+	a.copies.Add(1)
+	known := a.known()
+	if uint64(len(known)) <= after {
+		return Copy{Revision: uint64(len(known))}
 	}
-	return 0, nil
+	return Copy{Revision: uint64(len(known)), Whole: true, Text: []byte(known)}
 }
 
-func (a *adapterStandIn) Adopt(s Sink, _ uint64, text []byte) error {
-	if string(text) == "damaged" {
+func (a *adapterStandIn) Adopt(s Sink, c Copy, asOf clock.Millis) error {
+	if string(c.Text) == "damaged" {
 		return errors.New("damaged")
 	}
-	known := string(text)
-	a.knows.Store(&known)
-	s.Configure(record.NewConfiguration(uint64(len(text)), nil, record.Limits{}))
+	if len(c.Text) > 0 {
+		a.know(string(c.Text))
+		s.Configure(record.NewConfiguration(uint64(len(c.Text)), nil, record.Limits{}))
+	}
+	if asOf > 0 {
+		a.confirm(asOf)
+	}
 	return nil
 }
 
@@ -97,7 +139,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &adapterStandIn{sink: make(chan Sink, 1), run: wholeAnswer, done: make(chan error, 1)}
+	a := &adapterStandIn{sink: make(chan Sink, 1), news: make(chan struct{}), run: wholeAnswer, done: make(chan error, 1)}
 	a.node, err = New(s, WithSource(a), WithUpstream(a), WithFront(func(Carrier) http.Handler { return http.NotFoundHandler() }))
 	if err != nil {
 		t.Fatal(err)
--- a/depot/borrow.go
+++ b/depot/borrow.go
@@ -54,13 +54,13 @@
 	if err != nil {
 		return
 	}
-	known, _ := b.source.Copy()
+	known := b.source.Revision()
 	r, err := link.Do(ctx, &portage.Copy{After: known})
 	c, ok := r.(*portage.Copied)
 	if err != nil || !ok || len(c.Text) == 0 {
 		return
 	}
-	if err := b.source.Adopt(b.sink, c.Revision, c.Text); err != nil {
+	if err := b.source.Adopt(b.sink, copyOf(c), 0); err != nil {
 		b.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
 		return
 	}
@@ -78,15 +78,3 @@
 	address := b.seeds[rand.IntN(len(b.seeds))]
 	return b.peers.get(address, address)
 }
-
-// copied answers a Copy.
-func (n *Node) copied(q *portage.Copy) *portage.Copied {
-	out := &portage.Copied{}
-	if n.source == nil {
-		return out
-	}
-	if revision, text := n.source.Copy(); revision > q.After {
-		out.Revision, out.Text = revision, text
-	}
-	return out
-}
--- a/depot/borrow_test.go
+++ b/depot/borrow_test.go
@@ -41,7 +41,7 @@
 		t.Errorf("got version %d in force, want %d", got, want)
 	}
 	b.know("damaged")
-	for b.asked.Load() < 8 {
+	for b.copies.Load() < 8 {
 		time.Sleep(time.Millisecond)
 	}
 	if got := a.known(); got != "newer" {
@@ -72,9 +72,10 @@
 	a, _ := startAdapter(t, "u-1", "")
 	b, vm := startAdapter(t, "u-2", "")
 	b.know("newer")
-	a.node.List([]*record.Roster{record.NewRoster("desk", []record.VM{vm})})
+	far := record.NewVM(vm.Name(), "dangs", "ahwa", vm.Address(), record.StateLive).WithUpstream(vm.Upstream(), 8)
+	a.node.List([]*record.Roster{record.NewRoster("desk", []record.VM{far})})
 	time.Sleep(3 * borrowPause)
-	if got := b.asked.Load(); got != 0 {
+	if got := b.copies.Load(); got != 0 {
 		t.Errorf("got %d questions, want none", got)
 	}
 }
--- /dev/null
+++ b/depot/follower_test.go
@@ -0,0 +1,100 @@
+package depot
+
+import (
+	"testing"
+	"time"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/portage"
+	"cuminhollow.example/record"
+)
+
+// startRegion starts two nodes that list each other and returns the reader
+// first.
+func startRegion(t *testing.T) (reader, follower *adapterStandIn) {
+	t.Helper()
+	a, first := startAdapter(t, "u-1", "")
+	b, second := startAdapter(t, "u-2", "")
+	for _, n := range []*adapterStandIn{a, b} {
+		n.node.List([]*record.Roster{record.NewRoster("desk", []record.VM{first, second})})
+	}
+	if _, hears := a.node.readers.Next(0); hears {
+		a, b = b, a
+	}
+	return a, b
+}
+
+// await fails the test unless a condition comes true.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got no %s", what)
+		}
+	}
+}
+
+// TestHearsFromReader has the nodes of a region hear from one that reads: what
+// it learns reaches them, and they ask the platform no more.
+func TestHearsFromReader(t *testing.T) {
+	reader, follower := startRegion(t)
+	await(t, "question to the reader", func() bool { return reader.node.lender.wait() > 0 })
+	await(t, "short waits of the reader", func() bool { return reader.asks.Load() > 3 })
+	before := follower.asks.Load()
+	reader.know("news")
+	reader.confirm(reader.node.clock.Now())
+	follower.waitKnown(t, "news")
+	reader.know("later news")
+	follower.waitKnown(t, "later news")
+	if got := follower.asks.Load(); got != before {
+		t.Errorf("got %d questions of the follower to the platform, want none", got-before)
+	}
+	if got := follower.Age(); got > hearAge {
+		t.Errorf("got an age of %s, want at most %s", got, hearAge)
+	}
+}
+
+// TestReaderWithoutAnswers has the platform's answers to the reader get lost: the
+// node that hears from it asks the platform itself, although the reader answers.
+func TestReaderWithoutAnswers(t *testing.T) {
+	reader, follower := startRegion(t)
+	await(t, "question to the reader", func() bool { return reader.node.lender.wait() > 0 })
+	before := follower.asks.Load()
+	reader.deaf.Store(true)
+	await(t, "question to the platform", func() bool { return follower.asks.Load() > before })
+	await(t, "answer of the platform", func() bool { return follower.Age() < hearAge })
+}
+
+// TestReaderStops stops the reader: it tells those that wait at once, and they ask
+// the platform themselves.
+func TestReaderStops(t *testing.T) {
+	reader, follower := startRegion(t)
+	await(t, "question to the reader", func() bool { return reader.node.lender.wait() > 0 })
+	before := follower.asks.Load()
+	reader.stop()
+	await(t, "question to the platform", func() bool { return follower.asks.Load() > before })
+}
+
+// TestStoppingReader asks a node that has begun to stop: it says at once that
+// others are to be heard from.
+func TestStoppingReader(t *testing.T) {
+	a, _ := startAdapter(t, "u-1", "")
+	l := &lender{source: a, clock: a.node.clock, stopping: make(chan struct{})}
+	if l.copied(t.Context(), &portage.Copy{}).Away {
+		t.Error("before: got away, want not")
+	}
+	close(l.stopping)
+	if !l.copied(t.Context(), &portage.Copy{WaitMS: int64(hearWait)}).Away {
+		t.Error("in a stop: got not away, want it")
+	}
+}
+
+// TestKnownAsOf takes what a reader says for no newer than it was when the
+// question left, however long the answer was on its way.
+func TestKnownAsOf(t *testing.T) {
+	const asked, reached, held, age clock.Millis = 5_000, 300, 700, 40
+	right := asked + reached + held - age
+	if got := knownAsOf(asked, &portage.Copied{HeldMS: int64(held), AgeMS: int64(age)}); got > right || got < right-reached {
+		t.Errorf("got %d, want %d to %d", got, right-reached, right)
+	}
+}
--- /dev/null
+++ b/depot/lender.go
@@ -0,0 +1,83 @@
+package depot
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cuminhollow.example/clock"
+	"cuminhollow.example/portage"
+)
+
+// lender tells other nodes what the node's source knows. It is safe for
+// concurrent use.
+type lender struct {
+	// source is nil where nodes exchange records and rosters instead.
+	source Source
+	clock  clock.Clock
+	// askedAt is when another node last waited for news, on the clock.
+	askedAt atomic.Int64
+	// stopping is closed when the node begins to stop.
+	stopping chan struct{}
+}
+
+// wait returns how long the platform may hold a question of the node, in
+// milliseconds: not for long while others hear from it, 0 for as long as the
+// source likes.
+func (l *lender) wait() clock.Millis {
+	if at := l.askedAt.Load(); at > 0 && int64(l.clock.Now())-at < int64(lentSpan) {
+		return readerWait
+	}
+	return 0
+}
+
+// copied answers a Copy.
+func (l *lender) copied(ctx context.Context, q *portage.Copy) *portage.Copied {
+	if l.source == nil {
+		return &portage.Copied{Away: true}
+	}
+	began := l.clock.Now()
+	if q.WaitMS > 0 {
+		l.askedAt.Store(int64(max(1, began)))
+		l.await(ctx, q)
+	}
+	// In this order the asker never takes the copy for newer than it is.
+	held := l.clock.Now() - began
+	age := l.source.Age()
+	c := l.source.Copy(q.After)
+	return &portage.Copied{
+		Revision: c.Revision,
+		Whole:    c.Whole,
+		Text:     c.Text,
+		Away:     l.away(),
+		AgeMS:    int64(age),
+		HeldMS:   int64(held),
+	}
+}
+
+// await waits until the source was told something, and no longer than the
+// question says.
+func (l *lender) await(ctx context.Context, q *portage.Copy) {
+	news := l.source.News()
+	if l.away() || l.source.Revision() > q.After {
+		return
+	}
+	timer := time.NewTimer(min(clock.Millis(q.WaitMS), hearWait).Duration())
+	defer timer.Stop()
+	select {
+	case <-news:
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-l.stopping:
+	}
+}
+
+// away reports whether others should hear from another node.
+func (l *lender) away() bool {
+	select {
+	case <-l.stopping:
+		return true
+	default:
+		return l.source.Away()
+	}
+}
--- a/depot/node.go
+++ b/depot/node.go
@@ -53,7 +53,10 @@
 	entry     *entry
 	spread    *spread
 	server    *portage.Server
-	ready     atomic.Bool
+	// readers tells from whom the node hears what its source would tell.
+	readers *registry.Readers
+	lender  *lender
+	ready   atomic.Bool
 	// routes is the configuration in force; nil before the first one, and
 	// without a Source.
 	routes atomic.Pointer[record.Configuration]
@@ -216,6 +219,8 @@
 		fresh:    make(chan *record.Document, freshQueue),
 	}
 	n.spread.fleet.Store(registry.NewFleet(s.vm, s.place.Zone, n.book.Snapshot()))
+	n.readers = registry.NewReaders(s.listen.Peers, s.place.Region)
+	n.lender = &lender{source: n.source, clock: n.clock, stopping: make(chan struct{})}
 	n.server = portage.NewServer(n, n.linkOpts...)
 }
 
@@ -281,7 +286,16 @@
 
 // serveSource serves an adapter's interface by what its source tells.
 func (n *Node) serveSource(ctx context.Context, g *errgroup.Group, l *listeners) []*http.Server {
-	g.Go(func() error { return n.source.Follow(ctx, n) })
+	f := &follower{
+		source:  n.source,
+		sink:    n,
+		clock:   n.clock,
+		readers: n.readers,
+		peers:   n.peers,
+		lender:  n.lender,
+		log:     n.log,
+	}
+	g.Go(func() error { return f.run(ctx) })
 	b := &borrower{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log}
 	g.Go(func() error { return b.run(ctx) })
 	servers := []*http.Server{n.serveHTTP(g, l.callers, n.front(n))}
@@ -330,7 +344,7 @@
 	case *portage.Fetch:
 		return n.spread.documents(q)
 	case *portage.Copy:
-		return n.copied(q)
+		return n.lender.copied(ctx, q)
 	default:
 		return nil
 	}
--- a/depot/source.go
+++ b/depot/source.go
@@ -5,23 +5,43 @@
 
 	"cuminhollow.example/clock"
 	"cuminhollow.example/record"
+	"cuminhollow.example/registry"
 )
 
 // Source tells the node which routes are in force and which VMs there are, in
-// place of the records and rosters that nodes exchange.
+// place of the records and rosters that nodes exchange. The node decides when it
+// asks the platform and when it hears from another node that does. It is safe for
+// concurrent use, but for Ask.
 type Source interface {
-	// Follow reports what it learns to the sink until ctx ends.
-	Follow(ctx context.Context, s Sink) error
-	// Age is the time since the source last had an answer.
+	// Ask asks the platform once and reports what is new to the sink. It waits for
+	// changes up to a span, in milliseconds, or one of its own choice where that is
+	// 0; after a failure it pauses.
+	Ask(ctx context.Context, s Sink, wait clock.Millis)
+	// Unsure reports whether the platform itself has to be asked next.
+	Unsure() bool
+	// Age is the age of what the source knows, in milliseconds.
 	Age() clock.Millis
 	// Away reports whether the source gets no answers at present.
 	Away() bool
-	// Copy returns all that the source knows as text, with a revision that grows
-	// with what is known; 0 when it knows nothing.
-	Copy() (uint64, []byte)
-	// Adopt takes over a copy that the source of another node made, unless it
-	// knows as much itself, and reports it to the sink.
-	Adopt(s Sink, revision uint64, text []byte) error
+	// Revision grows with what the source knows; 0 when it knows nothing.
+	Revision() uint64
+	// News returns a channel that is closed when Age falls next.
+	News() <-chan struct{}
+	// Copy returns what the source knows beyond a revision.
+	Copy(after uint64) Copy
+	// Adopt takes over what the source of another node knows and reports it to the
+	// sink. The copy is known to be right as of a time on the node's clock; 0 when
+	// it may be old.
+	Adopt(s Sink, c Copy, asOf clock.Millis) error
+}
+
+// Copy is what a Source knows.
+type Copy struct {
+	Revision uint64
+	// Whole tells that Text holds all that is known rather than what changed.
+	Whole bool
+	// Text is empty when nothing is known beyond the revision asked for.
+	Text []byte
 }
 
 // Sink takes what a Source learns. It is safe for concurrent use.
@@ -59,6 +79,7 @@
 // List implements Sink.
 func (n *Node) List(rosters []*record.Roster) {
 	var own *record.VM
+	var readers []registry.Member
 	sizes := make(map[string]int, len(rosters))
 	for _, r := range rosters {
 		n.peers.forget(n.router.Update(r))
@@ -69,8 +90,12 @@
 			if v.Upstream() == n.settings.upstream.Address && r.Service() == n.settings.service {
 				own = &v
 			}
+			if v.Region() == n.settings.place.Region && v.State() == record.StateLive {
+				readers = append(readers, registry.Member{VM: v.Name(), Address: v.Address(), Zone: v.Zone()})
+			}
 		}
 	}
+	n.readers.Update(readers)
 	n.owner.desk.SetSizes(sizes)
 	n.owner.repeats.SetSpare(n.settings.retries.spareOf(sizes[n.settings.service]))
 	n.follow(own)
--- a/depot/stop.go
+++ b/depot/stop.go
@@ -35,6 +35,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.stop.timeout())
 	defer cancel()
 	n.stopping.Store(true)
+	close(n.lender.stopping)
 	n.log.Info().Str("event", "stopping").Str("vm", n.settings.vm).Send()
 	clock.Sleep(ctx, n.settings.stop.linger())
 	n.Drain()
--- a/portage/link.go
+++ b/portage/link.go
@@ -10,7 +10,7 @@
 )
 
 // ProtocolVersion is the version that Hello and Welcome carry.
-const ProtocolVersion = 2
+const ProtocolVersion = 3
 
 // Link sends requests to one peer over a connection that it dials when there
 // is something to send and replaces when it fails or goes silent. It is safe
--- a/portage/message.go
+++ b/portage/message.go
@@ -253,17 +253,27 @@
 	Documents []Published
 }
 
-// Copy asks for what a node's source knows, if it is newer than a revision.
+// Copy asks for what a node's source knows beyond a revision.
 type Copy struct {
 	stream
 	After uint64
+	// WaitMS is how long to wait until the source was asked once more or knows
+	// something newer, in milliseconds; 0 for an answer at once.
+	WaitMS int64
 }
 
 // Copied answers Copy. Text is empty when the node knows nothing newer.
 type Copied struct {
 	stream
 	Revision uint64
-	Text     []byte
+	// Whole tells that Text holds all that is known rather than what changed.
+	Whole bool
+	Text  []byte
+	// Away tells that the node's source gets no answers, or that the node stops.
+	Away bool
+	// AgeMS is the age of what the node knows, HeldMS after it got the question;
+	// both in milliseconds.
+	AgeMS, HeldMS int64
 }
 
 func (*Hello) messageType() messageType     { return typeHello }
