--- a/depot/order.go
+++ b/depot/order.go
@@ -32,6 +32,7 @@
 // holds what the caller sent; the rest is filled in.
 func newOrder(r *run, p *record.Policy, service string, c portage.Call) *order {
 	c.Request = r.request
+	c.Service = service
 	c.Kind = p.Name()
 	c.Group = r.group
 	c.Class = uint8(r.class)
--- a/portage/message.go
+++ b/portage/message.go
@@ -99,6 +99,8 @@
 	Origin string
 	// VM names the VM whose upstream is meant; empty for whichever is there.
 	VM string
+	// Service is the service that the upstream is to run.
+	Service string
 	// Ticket is empty for idempotent work.
 	Ticket string
 	Kind   string
