dispatch: the wait that a VM tells belongs to one kind of work

Change: waits are kept by kind, beside the durations. Test: TestWaitOfKind (fails without it); a mutation.

--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -41,28 +41,35 @@
 	booking.Outlook
 }
 
-// runMean is the mean duration of the runs of one kind on one VM. It is
-// immutable.
-type runMean struct {
-	at   clock.Millis
-	mean float64
+// kindOutlook is what a VM said of one kind at a time. It is immutable.
+type kindOutlook struct {
+	at clock.Millis
+	// mean is the mean duration of a run, 0 when unknown, and wait the expected wait
+	// for a slot; both in milliseconds.
+	mean, wait float64
 }
 
 // SetOutlook believes for a while what the VM says of its upstream.
 func (t *Target) SetOutlook(now clock.Millis, kind string, o booking.Outlook) {
 	t.outlook.Store(&outlook{at: now, Outlook: o})
-	if o.Run > 0 {
-		t.runs.Store(kind, &runMean{at: now, mean: o.Run})
+	t.kinds.Store(kind, &kindOutlook{at: now, mean: o.Run, wait: o.Wait})
+}
+
+// kind returns what the VM last said of a kind; nil when it said nothing.
+func (t *Target) kind(name string) *kindOutlook {
+	if v, ok := t.kinds.Load(name); ok {
+		return v.(*kindOutlook)
 	}
+	return nil
 }
 
-// wait returns the expected wait for a slot, in milliseconds.
-func (t *Target) wait(now clock.Millis) float64 {
-	o := t.outlook.Load()
-	if o == nil {
+// wait returns the expected wait of a kind for a slot, in milliseconds.
+func (t *Target) wait(now clock.Millis, kind string) float64 {
+	k := t.kind(kind)
+	if k == nil {
 		return 0
 	}
-	return max(0, o.Wait-float64(now-o.at))
+	return max(0, k.wait-float64(now-k.at))
 }
 
 // load returns the share of the slots in use, as last reported.
@@ -77,11 +84,10 @@
 // run returns the mean duration of a run of a kind; the older it is, the closer
 // it comes to usual, which is returned when nothing is known.
 func (t *Target) run(now clock.Millis, kind string, usual float64) float64 {
-	v, ok := t.runs.Load(kind)
-	if !ok {
+	r := t.kind(kind)
+	if r == nil || r.mean == 0 {
 		return usual
 	}
-	r := v.(*runMean)
 	trust := math.Exp(-float64(now-r.at) / float64(runAge))
 	return usual + (r.mean-usual)*trust
 }
--- a/dispatch/outlook_test.go
+++ b/dispatch/outlook_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// TestWaitOfKind has a VM tell a long wait for one kind: others, which may come
+// before that kind there, go on as before, and what one of them is told does not
+// hide the wait.
+func TestWaitOfKind(t *testing.T) {
+	r := newTestRouter(t, "kutch-a-1", "kutch-b-1")
+	for _, name := range []string{"kutch-a-1", "kutch-b-1"} {
+		r.Target(name).SetOutlook(10, "seal", booking.Outlook{Run: 100})
+	}
+	near := r.Target("kutch-a-1")
+	near.SetOutlook(10, "read", booking.Outlook{Wait: 900, Run: 100})
+	if got := pickAt(t, r, 20, 1000).VM.Name(); got != "kutch-a-1" {
+		t.Errorf("wait of another kind: got %s, want kutch-a-1", got)
+	}
+	near.SetOutlook(20, "seal", booking.Outlook{Wait: 900, Run: 100})
+	near.SetOutlook(20, "read", booking.Outlook{Run: 100})
+	if got := pickAt(t, r, 30, 1000).VM.Name(); got != "kutch-b-1" {
+		t.Errorf("wait of its own kind: got %s, want kutch-b-1", got)
+	}
+}
+
 // TestErrorsFade lets the only VM of the region answer errors and then gives it
 // no calls: the work leaves the region, and comes back although nothing was
 // heard from the VM since.
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -34,7 +34,7 @@
 	run := t.run(s.now, s.request.Kind, t.latencyOr(s.usual)) + 1
 	excess := max(0, t.errorShare(s.now)-s.errors)
 	worth := max(float64(s.request.Target), run)
-	return t.wait(s.now) + run*(1+load*load) + errorPenalty*worth*excess
+	return t.wait(s.now, s.request.Kind) + run*(1+load*load) + errorPenalty*worth*excess
 }
 
 // search takes the cheapest VM of all tiers. The far tier is for classes that
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -59,8 +59,8 @@
 	leavingUntil atomic.Int64
 	// outlook is what the VM last said of its upstream.
 	outlook atomic.Pointer[outlook]
-	// runs holds a *runMean for each kind of work.
-	runs sync.Map
+	// kinds holds a *kindOutlook for each kind of work.
+	kinds sync.Map
 }
 
 // NewTarget returns a target with no history.
