portage: check the shape of a payload before it is decoded

Cause: a frame with a valid checksum could end the process. The codec allocates a list by its announced length (a frame of 20 bytes asked for 34 GB: out of memory, which no recover catches) and skips values under unknown names recursively (4 MB of nested arrays: stack overflow). The fuzz target never got that far, since random bytes fail the checksum.

Ruled out: limits of the codec (its limit on lists is disabled by a wrong flag test in the version used, and its skip has no depth).

Change: one walk over the payload checks lengths against the bytes left, at most four levels of arrays, 65,536 elements, no maps and no extension types.

--- a/portage/frame.go
+++ b/portage/frame.go
@@ -113,6 +113,9 @@
 	if m == nil {
 		return nil, &Error{Op: "decode message", Kind: KindFrame, Err: fmt.Errorf("unknown message type %d", t)}
 	}
+	if err := checkPayload(payload); err != nil {
+		return nil, err
+	}
 	d := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(d)
 	d.Reset(bytes.NewReader(payload))
