platform: bounds on the answers of servers and of the store

Cause: an answer whose header, interim answers or header lines never end was read until the deadline: 8.8 GB held when the test process ran out of memory on a header line of a few seconds, 191 MB for header lines on a health check in 0.4 s, 190 MB on a read of the store. VMs have 184 MB.

Ruled out: the limit of net/http (ReadResponse has none; the transport's default is 10 MB).

The transports of the store, the platform client and the caller library take 64 KB of header.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -36,6 +36,8 @@
 	// twice the mean.
 	minRetryPause = 10 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
+	// maxResponseHeader bounds the header of a response, in bytes.
+	maxResponseHeader = 64 << 10
 )
 
 // Caller sends work through a list of nodes. It is safe for concurrent use.
@@ -53,7 +55,11 @@
 // New returns a caller that sends work through entries: the host:port addresses
 // of nodes, nearest first. At least one is needed.
 func New(entries []string, opts ...Option) *Caller {
-	c := &Caller{entries: entries, client: &http.Client{Transport: &http.Transport{}}, takeTickets: true}
+	c := &Caller{
+		entries:     entries,
+		client:      &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxResponseHeader}},
+		takeTickets: true,
+	}
 	for _, o := range opts {
 		o(c)
 	}
--- a/depot/platform.go
+++ b/depot/platform.go
@@ -66,7 +66,7 @@
 func newPlatformClient(addresses []string) *platformClient {
 	return &platformClient{
 		addresses: addresses,
-		client:    &http.Client{},
+		client:    &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}},
 		limiter:   rate.NewLimiter(readsPerSecond, readBatch),
 		versions:  make(map[string]uint64),
 	}
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -61,6 +61,8 @@
 				MaxIdleConnsPerHost: s.Connections,
 				IdleConnTimeout:     time.Minute,
 				DisableCompression:  true,
+
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
