depot, portage: a panic ends one call, connection or round, not the process

Cause: no goroutine of the node recovered. A panic in the handling of one request of a peer, in a poll of the platform, in an exchange or on a connection ended the process with everything that ran in it.

Decided: a panic while a call is handled ends that call with an unknown outcome (its ticket never runs again, its slot and its place in the quota are freed); on a connection it ends the connection; in a loop it ends the round, the next one begins after a second; in the HTTP handler of an adapter it is answered with 502 unless a response has begun. Each is logged with its stack (event panic) and counted (cuminhollow_panics_total). A panic anywhere else still ends the process: goroutines that only copy bytes, timers and the start. Embedders of portage get this with WithOnPanic only.

Ruled out on the way: an unknown answer without the node's state, whose level 0 made the entry refuse everything for 300 ms; freeing the slot without releasing the place in the quota, which stopped the kind after a few panics.

Before: TestPanicOfRun and TestPanicOfSource end the test process. After: pass; without the deferred release 4 slots stay in use.

--- a/depot/copy_fetcher.go
+++ b/depot/copy_fetcher.go
@@ -29,17 +29,17 @@
 	// seeds are the addresses of nodes to query while no VM is known.
 	seeds []string
 	log   zerolog.Logger
+	guard *guard
 }
 
 // run queries one node at a time until ctx ends.
 func (f *copyFetcher) run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	return f.guard.loop(ctx, "copy-fetcher", func() {
 		clock.Sleep(ctx, fetchPause/2+rand.N(fetchPause))
 		if f.source.Unavailable() && ctx.Err() == nil {
 			f.fetch(ctx)
 		}
-	}
-	return nil
+	})
 }
 
 // fetch queries a random known node or a seed, and adopts its data if newer.
--- a/depot/follower.go
+++ b/depot/follower.go
@@ -39,6 +39,7 @@
 	peers      *peers
 	copyServer *copyServer
 	log        zerolog.Logger
+	guard      *guard
 	// current is the name of the VM whose node was followed last; empty for the
 	// platform itself.
 	current string
@@ -46,18 +47,20 @@
 
 // run updates the node until ctx ends.
 func (f *follower) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if m, ok := f.nextWatcher(); ok {
-			f.switchTo(m.VM)
-			if f.followWatcher(ctx, m) {
-				continue
-			}
-			f.watchers.Exclude(f.clock.Now(), m)
+	return f.guard.loop(ctx, "follower", func() { f.update(ctx) })
+}
+
+// update receives updates once, from a watcher or from the platform.
+func (f *follower) update(ctx context.Context) {
+	if m, ok := f.nextWatcher(); ok {
+		f.switchTo(m.VM)
+		if f.followWatcher(ctx, m) {
+			return
 		}
-		f.switchTo("")
-		f.source.Poll(ctx, f.sink, f.copyServer.platformWait())
+		f.watchers.Exclude(f.clock.Now(), m)
 	}
-	return nil
+	f.switchTo("")
+	f.source.Poll(ctx, f.sink, f.copyServer.platformWait())
 }
 
 // nextWatcher returns the node to follow; false if the platform must be polled.
--- a/depot/metrics.go
+++ b/depot/metrics.go
@@ -30,6 +30,7 @@
 	ticketRetries metric.Int64Counter
 	queueTimes    metric.Float64Histogram
 	attempts      metric.Int64Counter
+	panics        metric.Int64Counter
 }
 
 func newMetrics() (*metrics, error) {
@@ -75,6 +76,12 @@
 	if err != nil {
 		return err
 	}
+	m.panics, err = m.meter.Int64Counter("cuminhollow.panics",
+		metric.WithDescription("Panics that ended a call, a connection or a round of a loop, by part."),
+		metric.WithUnit("{panic}"))
+	if err != nil {
+		return err
+	}
 	m.ticketRetries, err = m.meter.Int64Counter("cuminhollow.asks",
 		metric.WithDescription("Tickets presented again after a lost connection."),
 		metric.WithUnit("{message}"))
@@ -169,4 +176,8 @@
 	m.queueTimes.Record(context.Background(), float64(span), metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+func (m *metrics) recordPanic(part string) {
+	m.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("part", part)))
+}
+
 func (m *metrics) recordTicketRetry() { m.ticketRetries.Add(context.Background(), 1) }
--- a/depot/node.go
+++ b/depot/node.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"errors"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -48,6 +49,7 @@
 	clock    clock.Clock
 	log      zerolog.Logger
 	metrics  *metrics
+	guard    *guard
 	store    *record.Store
 	// decisions logs what happens to each request and why.
 	decisions  *decisionLog
@@ -95,8 +97,8 @@
 type Option func(*Node)
 
 // WithLogger sets the logger; the default discards all events.
-func WithLogger(log zerolog.Logger) Option {
-	return func(n *Node) { n.log = log }
+func WithLogger(l zerolog.Logger) Option {
+	return func(n *Node) { n.log = l }
 }
 
 // WithBodyTimeout limits how long reading a whole request may take; the default
@@ -178,6 +180,8 @@
 	s := n.settings
 	runs := new(runTable)
 	n.decisions = &decisionLog{log: n.log}
+	n.guard = &guard{log: n.log, metrics: n.metrics}
+	n.linkOpts = append(n.linkOpts, portage.WithOnPanic(n.guard.recovered))
 	n.store = record.NewStore(n.clock)
 	n.router = dispatch.NewRouter(s.vm, s.locality)
 	hello := portage.Hello{VM: s.vm, Incarnation: n.incarnation}
@@ -223,6 +227,7 @@
 		platform: newPlatformClient(s.platform),
 		schedule: registry.NewSchedule(rand.Float64),
 		log:      n.log,
+		guard:    n.guard,
 		seeds:    n.seeds,
 		pending:  make(chan *record.Document, pendingQueueSize),
 	}
@@ -304,9 +309,10 @@
 		peers:      n.peers,
 		copyServer: n.copyServer,
 		log:        n.log,
+		guard:      n.guard,
 	}
 	g.Go(func() error { return f.run(ctx) })
-	c := &copyFetcher{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log}
+	c := &copyFetcher{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log, guard: n.guard}
 	g.Go(func() error { return c.run(ctx) })
 	servers := []*http.Server{n.serveHTTP(g, l.callers, n.frontend(n))}
 	if l.ready != nil {
@@ -317,7 +323,8 @@
 
 func (n *Node) serveHTTP(g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
-		Handler:           h,
+		Handler:           n.guard.handler(h),
+		ErrorLog:          log.New(n.log.With().Str("event", "http-server").Logger(), "", 0),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       n.bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -344,6 +351,23 @@
 
 // Handle implements portage.Handler.
 func (n *Node) Handle(ctx context.Context, _ portage.Peer, q portage.Request) portage.Response {
+	var r portage.Response
+	if n.guard.run("request", func() { r = n.response(ctx, q) }) {
+		return r
+	}
+	// The work of the request may have run.
+	switch q := q.(type) {
+	case *portage.Call:
+		return n.owner.completeAnswer(q, unknownAnswer(reasonPanic))
+	case *portage.Query:
+		return n.owner.completeAnswer(&portage.Call{}, unknownAnswer(reasonPanic))
+	default:
+		return nil
+	}
+}
+
+// response returns the response to a request of a peer.
+func (n *Node) response(ctx context.Context, q portage.Request) portage.Response {
 	switch q := q.(type) {
 	case *portage.Call:
 		return n.owner.handleCall(ctx, q)
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -93,6 +93,9 @@
 	if _, first := reply.(claim.Run[*portage.Answer]); !first {
 		return o.awaitOutcome(ctx, ticket, reply, c.Grant, deadline)
 	}
+	// It has no effect once the outcome is recorded below. After a panic, the work
+	// may have run.
+	defer o.completions.MarkLost(ticket)
 	// The work goes on when the connection is lost. Only a cancellation that the
 	// peer sent ends it, and only while it waits for a slot.
 	a := o.admit(detachFromConnection(ctx), c, deadline)
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -16,9 +16,12 @@
 // runAdmitted runs a call that has a slot and frees the slot.
 func (o *owner) runAdmitted(ctx context.Context, c *portage.Call, ac *booking.Call, arrived, deadline clock.Millis) *portage.Answer {
 	now := o.clock.Now()
+	// It has no effect once the call has ended below. It frees the slot after a
+	// panic.
+	defer func() { o.freeSlot(o.clock.Now(), ac, booking.ResultFailed) }()
 	o.metrics.recordQueueWait(c.Kind, now-arrived)
 	if now >= deadline || ctx.Err() != nil {
-		o.controller.Done(now, ac, booking.ResultCancelled)
+		o.freeSlot(now, ac, booking.ResultCancelled)
 		return o.reject(c, reasonExpired, deadline)
 	}
 	limit := deadline
@@ -30,6 +33,7 @@
 	defer cancel()
 	id := uuid.NewString()
 	account := ledger.NewAccount(c.Grant)
+	defer o.runs.remove(id)
 	o.runs.add(id, &requestScope{
 		ctx:       ctx,
 		requestID: c.Request,
@@ -40,11 +44,8 @@
 		account:   account,
 	})
 	res := o.runOnUpstream(ctx, c, id, deadline)
-	o.runs.remove(id)
 	ended := o.clock.Now()
-	if releaseDelay := o.controller.Done(ended, ac, admissionResult(ctx, res, ended > deadline)); releaseDelay > 0 {
-		time.AfterFunc(releaseDelay.Duration(), func() { o.controller.Release(o.clock.Now(), ac) })
-	}
+	o.freeSlot(ended, ac, admissionResult(ctx, res, ended > deadline))
 	o.metrics.recordRun(res.Outcome, ended-now)
 	o.decisions.runEnded(c, res, now-arrived, ended-now, deadline-ended)
 	return &portage.Answer{
@@ -59,6 +60,14 @@
 	}
 }
 
+// freeSlot ends a call that was started. Its place in the quota of its kind may
+// stay reserved for a while.
+func (o *owner) freeSlot(now clock.Millis, ac *booking.Call, r booking.Result) {
+	if releaseDelay := o.controller.Done(now, ac, r); releaseDelay > 0 {
+		time.AfterFunc(releaseDelay.Duration(), func() { o.controller.Release(o.clock.Now(), ac) })
+	}
+}
+
 // runOnUpstream sends a call to the upstream. While the upstream rejects the
 // call as retryable, it sends the call again, within the deadline and the rate
 // limit on retries.
--- a/depot/problem.go
+++ b/depot/problem.go
@@ -31,6 +31,7 @@
 	reasonAnswerLost         = "answer-lost"
 	reasonCancelled          = "cancelled"
 	reasonDamaged            = "damaged"
+	reasonPanic              = "panic"
 )
 
 // defaultRetryAfter is the Retry-After header of responses with status 503, in
--- a/depot/replicator.go
+++ b/depot/replicator.go
@@ -48,6 +48,7 @@
 	platform *platformClient
 	schedule registry.Schedule
 	log      zerolog.Logger
+	guard    *guard
 	seeds    []string
 	// applyMu is held from the change of the store until the router and the fleet
 	// are updated to match.
@@ -181,11 +182,11 @@
 func (r *replicator) watchLoop(ctx context.Context) error {
 	var index uint64
 	failures := 0
-	for ctx.Err() == nil {
+	return r.guard.loop(ctx, "platform-watch", func() {
 		if !r.currentFleet().IsWatcher() {
 			index = 0
 			clock.Sleep(ctx, roleCheckInterval)
-			continue
+			return
 		}
 		next, err := r.platform.readChanges(ctx, index, r.mergeFromPlatform)
 		if err != nil {
@@ -193,38 +194,35 @@
 			index = 0
 			r.log.Warn().Str("event", "platform-read").Int("failures", failures).Err(err).Send()
 			clock.Sleep(ctx, r.schedule.RetryDelay(failures).Duration())
-			continue
+			return
 		}
 		failures = 0
 		index = next
-	}
-	return nil
+	})
 }
 
 // fallbackLoop reads the platform when this node is not a watcher and has had
 // no successful exchange for fallbackAfter.
 func (r *replicator) fallbackLoop(ctx context.Context) error {
-	for ctx.Err() == nil {
+	return r.guard.loop(ctx, "platform-fallback", func() {
 		clock.Sleep(ctx, r.schedule.FallbackDelay(r.currentFleet().Size()).Duration())
 		sinceExchange := r.clock.Now() - clock.Millis(r.lastExchange.Load())
 		if ctx.Err() != nil || r.currentFleet().IsWatcher() || sinceExchange < fallbackAfter {
-			continue
+			return
 		}
 		if _, err := r.platform.readChanges(ctx, 0, r.mergeFromPlatform); err != nil {
 			r.log.Warn().Str("event", "platform-fallback").Err(err).Send()
 		}
-	}
-	return nil
+	})
 }
 
 func (r *replicator) exchangeLoop(ctx context.Context) error {
-	for ctx.Err() == nil {
+	return r.guard.loop(ctx, "exchange", func() {
 		clock.Sleep(ctx, r.schedule.ExchangeDelay().Duration())
 		if m, ok := r.currentFleet().ExchangePeer(rand.IntN); ok && ctx.Err() == nil {
 			r.exchangeWith(ctx, m)
 		}
-	}
-	return nil
+	})
 }
 
 // exchangeWith compares summaries with a member, pushes the documents that the
@@ -305,17 +303,16 @@
 
 // pushLoop sends new documents to peers as they become current.
 func (r *replicator) pushLoop(ctx context.Context) error {
-	for {
+	return r.guard.loop(ctx, "push", func() {
 		select {
 		case <-ctx.Done():
-			return nil
 		case d := <-r.pending:
 			documents := r.takePending(d)
 			for _, m := range r.currentFleet().PushTargets(rand.IntN) {
 				r.pushTo(ctx, m, documents)
 			}
 		}
-	}
+	})
 }
 
 // takePending returns first and all documents that are queued at present.
--- a/portage/inbound.go
+++ b/portage/inbound.go
@@ -79,6 +79,7 @@
 func (in *inbound) run(ctx context.Context, cancel context.CancelCauseFunc, q Request) {
 	defer in.server.inFlight.Add(-1)
 	defer cancel(nil)
+	defer in.server.settings.recoverPanic("request", in.conn.close)
 	number := q.streamNumber()
 	r := in.server.handler.Handle(ctx, in.peer, q)
 	in.mu.Lock()
--- a/portage/link.go
+++ b/portage/link.go
@@ -134,12 +134,14 @@
 		ch.conn.close()
 	}
 	l.mu.Unlock()
-	if ch != nil {
-		l.settings.onWelcome(ch.welcome)
-		go l.readLoop(ch)
-		go l.watch(ch)
+	defer close(done)
+	if ch == nil {
+		return
 	}
-	close(done)
+	defer l.settings.recoverPanic("welcome", func() { l.abandon(ch, errors.New("panic in the handler of the welcome")) })
+	l.settings.onWelcome(ch.welcome)
+	go l.readLoop(ch)
+	go l.watch(ch)
 }
 
 func (l *Link) open() (*channel, error) {
@@ -179,6 +181,7 @@
 
 // readLoop delivers responses and notices until the connection fails.
 func (l *Link) readLoop(ch *channel) {
+	defer l.settings.recoverPanic("connection", func() { l.abandon(ch, errors.New("panic while reading")) })
 	for {
 		m, err := ch.conn.receive()
 		if err != nil {
@@ -197,6 +200,7 @@
 // watch closes the connection when it has been idle for the idle timeout and
 // probes it while requests are pending. An idle connection costs one timer.
 func (l *Link) watch(ch *channel) {
+	defer l.settings.recoverPanic("connection watch", func() { l.abandon(ch, errors.New("panic while watching")) })
 	for {
 		idle := time.NewTimer(l.settings.idleTimeout)
 		select {
--- a/portage/options.go
+++ b/portage/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net"
+	"runtime/debug"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 	tls            func() *tls.Config
 	onWelcome      func(Welcome)
 	onNotice       func(Notice)
+	onPanic        func(part string, value any, stack []byte)
 	maxConns       int
 	traffic        *Traffic
 }
@@ -86,6 +88,25 @@
 	return func(s *settings) { s.onNotice = f }
 }
 
+// WithOnPanic makes a panic on a connection end only that connection, and calls
+// f with the part that panicked, the value and the stack. By default a panic
+// ends the process.
+func WithOnPanic(f func(part string, value any, stack []byte)) Option {
+	return func(s *settings) { s.onPanic = f }
+}
+
+// recoverPanic ends a connection by calling end after a panic. Call it with
+// defer.
+func (s *settings) recoverPanic(part string, end func()) {
+	if s.onPanic == nil {
+		return
+	}
+	if v := recover(); v != nil {
+		s.onPanic(part, v, debug.Stack())
+		end()
+	}
+}
+
 // WithTraffic adds the messages and bytes sent to the counts of t; by default
 // nothing is counted.
 func WithTraffic(t *Traffic) Option {
--- a/portage/server.go
+++ b/portage/server.go
@@ -153,6 +153,7 @@
 	_ = raw.SetReadDeadline(time.Now().Add(s.settings.dialTimeout))
 	c := newConn(s.settings.wrapServer(raw), s.settings.traffic)
 	defer c.close()
+	defer s.settings.recoverPanic("inbound connection", c.close)
 	if !s.add(c) {
 		return
 	}
