portage: the own pause of a process is not the silence of its peers

Cause: a connection was given up when the time since the last bytes exceeded 400 ms by the wall clock. A process that stood still for longer found all its connections silent when it went on, although answers waited to be read: running work was given up, or started again elsewhere. A step of the time of day by 2 s had the same effect on every busy connection. Besides, a request could be put on a connection in the moment in which that was closed as idle, and counted as lost.

Ruled out: a longer timeout (a machine without power is found as late).

Change: silence is summed over the ticks of the watch, at most two intervals for each, and ends with any read; no wall clock. An idle connection takes no more requests before it is closed.

Before: TestPausedEntryKeepsCalls gives up 1 of 12 calls while they run. After: three runs, all answered, each run once.

--- a/portage/channel.go
+++ b/portage/channel.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
 
+// errIdle is the cause of closing an idle connection.
+var errIdle = errors.New("connection closed after the idle timeout")
+
 // result is the outcome of a pending request: a response or an error.
 type result struct {
 	response Response
@@ -113,12 +117,23 @@
 	}
 }
 
-// pendingRequests returns the number of pending requests and the time since
-// that number last changed from or to zero.
-func (ch *channel) pendingRequests() (count int, since time.Duration) {
+// pendingRequests returns the number of pending requests.
+func (ch *channel) pendingRequests() int {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	return len(ch.pending)
+}
+
+// closeIfIdle takes no more requests if none was pending for the idle timeout,
+// and reports whether it did so. Requests that come later fail with KindClosed.
+func (ch *channel) closeIfIdle(idleTimeout time.Duration) bool {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	return len(ch.pending), time.Since(ch.lastUse)
+	if len(ch.pending) > 0 || time.Since(ch.lastUse) < idleTimeout {
+		return false
+	}
+	ch.closeErr = errIdle
+	return true
 }
 
 // tryPing sends a Ping unless the send queue is full.
--- a/portage/conn.go
+++ b/portage/conn.go
@@ -38,8 +38,8 @@
 	// are written.
 	draining  chan struct{}
 	drainOnce sync.Once
-	// lastRead is the time when bytes last arrived, in Unix milliseconds.
-	lastRead atomic.Int64
+	// reads counts the reads that returned bytes.
+	reads atomic.Uint64
 }
 
 func newConn(raw net.Conn, traffic *Traffic) *conn {
@@ -52,27 +52,21 @@
 		draining: make(chan struct{}),
 	}
 	c.reader = bufio.NewReaderSize(activityReader{c}, bufferSize)
-	c.lastRead.Store(time.Now().UnixMilli())
 	go c.writeLoop()
 	return c
 }
 
-// activityReader records in lastRead the time of each read that returned bytes.
+// activityReader counts the reads that returned bytes.
 type activityReader struct{ conn *conn }
 
 func (r activityReader) Read(p []byte) (int, error) {
 	n, err := r.conn.netConn.Read(p)
 	if n > 0 {
-		r.conn.lastRead.Store(time.Now().UnixMilli())
+		r.conn.reads.Add(1)
 	}
 	return n, err
 }
 
-// sinceLastRead returns the time since bytes last arrived.
-func (c *conn) sinceLastRead() time.Duration {
-	return time.Duration(time.Now().UnixMilli()-c.lastRead.Load()) * time.Millisecond
-}
-
 // send writes m or queues it for writing. An error means that no byte of m was
 // written.
 func (c *conn) send(m Message) error {
--- a/portage/link.go
+++ b/portage/link.go
@@ -213,35 +213,50 @@
 				return
 			}
 		case <-idle.C:
-			if pending, since := ch.pendingRequests(); pending == 0 && since >= l.settings.idleTimeout {
-				l.abandon(ch, errors.New("connection closed after the idle timeout"))
+			if l.dropIfIdle(ch) {
+				l.abandon(ch, errIdle)
 				return
 			}
 		}
 	}
 }
 
+// dropIfIdle makes new requests use another connection if this one has been idle
+// for the idle timeout, and reports whether it did so.
+func (l *Link) dropIfIdle(ch *channel) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !ch.closeIfIdle(l.settings.idleTimeout) {
+		return false
+	}
+	if l.current == ch {
+		l.current = nil
+	}
+	return true
+}
+
 // probeWhileBusy pings the peer while requests are pending and abandons the
 // connection when nothing arrives for the silence timeout. It reports whether
 // the connection is still usable.
 func (l *Link) probeWhileBusy(ch *channel) bool {
-	ticker := time.NewTicker(max(l.settings.pingAfter/2, time.Millisecond))
+	interval := max(l.settings.pingAfter/2, time.Millisecond)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	detector := newSilenceDetector(interval, time.Now(), ch.conn.reads.Load())
 	for {
 		select {
 		case <-ch.conn.closed:
 			return false
 		case <-ticker.C:
 		}
-		pending, since := ch.pendingRequests()
-		quiet := min(ch.conn.sinceLastRead(), since)
+		silence := detector.observe(time.Now(), ch.conn.reads.Load())
 		switch {
-		case pending == 0:
+		case ch.pendingRequests() == 0:
 			return true
-		case quiet > l.settings.silenceTimeout:
+		case silence > l.settings.silenceTimeout:
 			l.abandon(ch, errors.New("nothing received within the silence timeout"))
 			return false
-		case quiet > l.settings.pingAfter:
+		case silence > l.settings.pingAfter:
 			ch.tryPing()
 		}
 	}
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -251,3 +251,32 @@
 	}).all()
 	checkAllAnswered(t, results)
 }
+
+// TestPausedEntryKeepsCalls suspends an entry node for longer than the silence
+// timeout while idempotent calls run. When the node goes on, it must read the
+// answers that wait for it rather than give the calls up or run them again.
+func TestPausedEntryKeepsCalls(t *testing.T) {
+	const calls, runTime = 12, 1200 * time.Millisecond
+	f := startFleet(t, certifyPlan(2, runTime, 1))
+	entry := f.ServiceVMs("desk")[0]
+	var results resultLog
+	var wg sync.WaitGroup
+	for n := range calls {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results.add(call(entry.CallerAddress, "history", strconv.Itoa(n)))
+		}()
+	}
+	time.Sleep(runTime / 3)
+	entry.Node.Pause()
+	time.Sleep(runTime)
+	entry.Node.Resume()
+	wg.Wait()
+	checkAllAnswered(t, results.all())
+	for id, runs := range f.Runs("history") {
+		if runs != 1 {
+			t.Errorf("call %s: got %d runs, want 1", id, runs)
+		}
+	}
+}
