registry: a node that knows nobody is found by its predecessor in a ring

A node that restarts without seeds while the platform is down waits until one of the live nodes picks it at random for an exchange: by that rate over 16 s for one node in a hundred.

Ruled out: seeds in that test (the settings may have none), a faster rate of exchanges (luck again, and control traffic grows).

Change: every second exchange goes to the nearest successor that answers in the ring of all members. Each live node is the nearest live successor of another, so it is contacted within two exchanges, 6 s at most, as long as no eight in a row are down.

--- a/depot/replicator.go
+++ b/depot/replicator.go
@@ -217,38 +217,56 @@
 }
 
 func (r *replicator) exchangeLoop(ctx context.Context) error {
+	ring := false
 	return r.guard.loop(ctx, "exchange", func() {
 		clock.Sleep(ctx, r.schedule.ExchangeDelay().Duration())
-		if m, ok := r.currentFleet().ExchangePeer(rand.IntN); ok && ctx.Err() == nil {
+		if ctx.Err() != nil {
+			return
+		}
+		if ring = !ring; ring {
+			r.exchangeWithSuccessor(ctx)
+		} else if m, ok := r.currentFleet().ExchangePeer(rand.IntN); ok {
 			r.exchangeWith(ctx, m)
 		}
 	})
 }
 
+// exchangeWithSuccessor exchanges documents with the nearest successor in the
+// ring that answers.
+func (r *replicator) exchangeWithSuccessor(ctx context.Context) {
+	for _, m := range r.currentFleet().Successors() {
+		if ctx.Err() != nil || r.exchangeWith(ctx, m) {
+			return
+		}
+	}
+}
+
 // exchangeWith compares summaries with a member, pushes the documents that the
-// member lacks and fetches those that this node lacks.
-func (r *replicator) exchangeWith(ctx context.Context, m registry.Member) {
+// member lacks and fetches those that this node lacks. It reports whether the
+// member answered.
+func (r *replicator) exchangeWith(ctx context.Context, m registry.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	link, err := r.peers.get(m.VM, m.Address).connect(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	summary := r.store.Snapshot().Summary()
 	response, err := link.Do(ctx, &portage.Exchange{Summary: summary[:]})
 	listing, ok := response.(*portage.Listing)
 	if err != nil || !ok {
-		return
+		return false
 	}
 	r.lastExchange.Store(int64(r.clock.Now()))
 	if len(listing.Buckets) == 0 {
-		return
+		return true
 	}
 	wanted, surplus := compareListing(r.store.Snapshot(), listing)
 	if len(surplus) > 0 {
 		_ = link.Notify(ctx, &portage.Push{Documents: fitMessage(surplus)})
 	}
 	r.fetch(ctx, link, m, wanted)
+	return true
 }
 
 func (r *replicator) fetch(ctx context.Context, link *portage.Link, m registry.Member, keys []string) {
--- a/registry/fleet.go
+++ b/registry/fleet.go
@@ -34,6 +34,8 @@
 	// sameZone holds the members of the node's own zone and otherZones all
 	// others, both sorted by VM and without the node itself.
 	sameZone, otherZones []Member
+	// successors are the members that follow the node in the ring, nearest first.
+	successors []Member
 	// watchers are the VMs that watch the platform for the zone.
 	watchers []string
 }
@@ -62,6 +64,7 @@
 	byVM := func(a, b Member) int { return cmp.Compare(a.VM, b.VM) }
 	slices.SortFunc(f.sameZone, byVM)
 	slices.SortFunc(f.otherZones, byVM)
+	f.successors = successorsOf(zone, self, slices.Concat(f.sameZone, f.otherZones))
 	f.watchers = selectWatchers(zone, candidates)
 	return f
 }
