landing, depot, portage: pipelined requests, memory of bodies, calls that wait for the link

Three parts: net/http serves the requests of a connection one by one, and does not notice that a caller leaves while bytes of a further request wait; a frame that waits for a slow connection could not be taken back, and its sender was held beyond its deadline (up to 5 s); a long message kept pings waiting, so that its connection counted as silent and everything on it was given up. Besides, the memory of bodies in flight had no bound, and a response to a request whose body was not read was destroyed by the reset that followed.

Ruled out: reading ahead in a wrapper of the connection under net/http (finds the close, but requests still wait for each other, and their deadlines run).

Change: landing, an HTTP/1.1 server on net/http's parser: idempotent requests of a connection run at the same time, others wait for the responses before them; responses in order; nothing of a body is read before its turn, at most 4 KB of what follows; a caller that leaves is noticed with bytes waiting; limits on header, body, idle and write times and on connections, from the configuration where it sets them; requests that were taken are answered at a stop, the last response says that the connection closes; the rest of an unread body is read before a connection closes. ledger.Bytes: bodies in flight take at most a quarter of the VM's memory, others are refused as not run; the runtime keeps to 0.7 of it. portage: a frame is withdrawn while no byte of it is written, which is 'not run'; a server gives signs of life while a long message arrives.

Before: TestPeerThatDoesNotRead returns up to 5 s late, TestSlowLinkIsNotSilent gives up. After: pass, with a property test of random pipelines and a fuzz target of any bytes.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -15,6 +15,7 @@
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
+	"cuminhollow.example/landing"
 	"cuminhollow.example/portage"
 	"cuminhollow.example/record"
 	"cuminhollow.example/standin/fleet"
@@ -112,6 +113,15 @@
 	return a.run(ctx, c)
 }
 
+// noFrontend knows no request.
+type noFrontend struct{}
+
+func (noFrontend) ServeHTTP(w http.ResponseWriter, r *http.Request) { http.NotFound(w, r) }
+
+func (noFrontend) Concurrent(*http.Request) bool { return false }
+
+func (noFrontend) Limits() landing.Limits { return landing.DefaultLimits() }
+
 func answerOK(context.Context, *portage.Call) RunResult {
 	return RunResult{Outcome: portage.OutcomeAnswered, Reached: true, Status: http.StatusOK}
 }
@@ -143,7 +153,7 @@
 		t.Fatal(err)
 	}
 	a := &fakeAdapter{sink: make(chan Sink, 1), changed: make(chan struct{}), run: answerOK, done: make(chan error, 1)}
-	a.node, err = New(s, WithSource(a), WithUpstream(a), WithFrontend(func(Dispatcher) http.Handler { return http.NotFoundHandler() }))
+	a.node, err = New(s, WithSource(a), WithUpstream(a), WithFrontend(func(Dispatcher) Frontend { return noFrontend{} }))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -112,7 +112,7 @@
 	switch reason {
 	case reasonExpired, reasonBadTicket, reasonNoTriesLeft:
 		return actionReturn
-	case reasonBusy, reasonLeaving:
+	case reasonBusy, reasonLeaving, reasonMemory:
 		return actionFailover
 	default:
 		return actionRetry
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/claim"
@@ -37,6 +34,7 @@
 	// service is the service of the node's VM.
 	service string
 	leaving atomic.Bool
+	bodies  *BodyReader
 	// inFlight counts the calls that are not answered yet.
 	inFlight atomic.Int64
 }
@@ -65,13 +63,12 @@
 		e.reject(w, name, policy, reason)
 		return
 	}
-	body, reason := ReadBody(w, q, portage.MaxBody)
+	body, reason := e.bodies.Read(w, q, portage.MaxBody)
 	if reason != "" {
 		e.reject(w, name, policy, reason)
 		return
 	}
-	// The limit on reading the request must not end the wait for its answer.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	defer body.Release()
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	stop := context.AfterFunc(q.Context(), cancel)
@@ -83,7 +80,7 @@
 		Method: q.Method,
 		Path:   q.URL.RequestURI(),
 		Header: EndToEndFields(q.Header),
-		Body:   body,
+		Body:   body.Bytes(),
 	})
 	o.call.Onward = nested
 	a := e.forward(q, o)
@@ -91,6 +88,13 @@
 	e.writeAnswer(w, o, policy, a)
 }
 
+// concurrent reports whether a request may run beside an earlier one on its
+// connection: whether its kind of work is idempotent.
+func (e *entry) concurrent(q *http.Request) bool {
+	p := e.store.Snapshot().Policy(e.kindOf(q))
+	return p != nil && p.Idempotent()
+}
+
 // isFailure reports whether an answer is a failure for the caller: the call was
 // not answered by the upstream, or with a server error (5xx). When a nested call
 // fails, the run that made it is likely to fail too.
@@ -210,21 +214,6 @@
 	return ""
 }
 
-// ReadBody reads the body of a request, up to a limit in bytes. When that fails,
-// it returns the reason for rejecting the request.
-func ReadBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, string) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, reasonBodyTooLarge
-	case err != nil:
-		return nil, reasonBodyIncomplete
-	default:
-		return body, ""
-	}
-}
-
 // forward sends the call to an owner. Non-idempotent work that came with a
 // ticket goes to the owner of the ticket.
 func (e *entry) forward(q *http.Request, o *outgoingCall) *portage.Answer {
--- a/depot/metrics.go
+++ b/depot/metrics.go
@@ -109,6 +109,7 @@
 		{"cuminhollow.strain", "Onward calls of the upstream that find a service full, in thousandths.", "{call}", func() int64 {
 			return int64(o.controller.KindStats(n.clock.Now(), "").DownstreamOverload * overloadScale)
 		}},
+		{"cuminhollow.body.memory", "Memory reserved for the bodies of calls in flight.", "By", n.bodyMemory.Used},
 		{"cuminhollow.heap", "Live heap.", "By", heapBytes},
 	}, n.gauges...)
 	if n.source != nil {
--- a/depot/node.go
+++ b/depot/node.go
@@ -16,6 +16,8 @@
 	"cuminhollow.example/claim"
 	"cuminhollow.example/clock"
 	"cuminhollow.example/dispatch"
+	"cuminhollow.example/landing"
+	"cuminhollow.example/ledger"
 	"cuminhollow.example/portage"
 	"cuminhollow.example/record"
 	"cuminhollow.example/registry"
@@ -81,7 +83,7 @@
 	source         Source
 	// seeds are the addresses of nodes to query while no VM is known.
 	seeds    []string
-	frontend func(Dispatcher) http.Handler
+	frontend func(Dispatcher) Frontend
 	reload   func(*Settings)
 	// upstream runs calls on the VM's own upstream.
 	upstream Upstream
@@ -89,6 +91,9 @@
 	traffic  portage.Traffic
 	// bodyTimeout limits how long reading a whole request may take.
 	bodyTimeout time.Duration
+	// bodyMemory is the memory for the bodies of calls in flight, as their entry
+	// and as their owner.
+	bodyMemory *ledger.Bytes
 	// incarnation is a random number that identifies this process.
 	incarnation uint64
 }
@@ -125,9 +130,19 @@
 	return func(n *Node) { n.seeds = addresses }
 }
 
-// WithFrontend sets the HTTP handler for the calls of callers and of the VM's
-// own upstream; the default is the product's own HTTP interface.
-func WithFrontend(frontend func(Dispatcher) http.Handler) Option {
+// Frontend handles the requests of callers and of the VM's own upstream.
+type Frontend interface {
+	http.Handler
+	// Concurrent reports whether a request may run while earlier ones on its
+	// connection are unanswered; see landing.WithConcurrent.
+	Concurrent(*http.Request) bool
+	// Limits returns the present limits on callers.
+	Limits() landing.Limits
+}
+
+// WithFrontend sets the handler for the calls of callers and of the VM's own
+// upstream; the default is the product's own HTTP interface.
+func WithFrontend(frontend func(Dispatcher) Frontend) Option {
 	return func(n *Node) { n.frontend = frontend }
 }
 
@@ -180,6 +195,7 @@
 	s := n.settings
 	runs := new(runTable)
 	n.decisions = &decisionLog{log: n.log}
+	n.bodyMemory = ledger.NewBytes(s.vmLimits.bodyMemory())
 	n.guard = &guard{log: n.log, metrics: n.metrics}
 	n.linkOpts = append(n.linkOpts, portage.WithOnPanic(n.guard.recovered))
 	n.store = record.NewStore(n.clock)
@@ -195,6 +211,7 @@
 		runs:         runs,
 		metrics:      n.metrics,
 		retryLimiter: s.retries.newLimiter(),
+		memory:       n.bodyMemory,
 	}
 	n.entry = &entry{
 		clock: n.clock,
@@ -215,6 +232,7 @@
 		routes:         s.routes,
 		service:        s.service,
 		identitySource: s.callers.Identity,
+		bodies:         NewBodyReader(n.bodyMemory),
 	}
 	n.replicator = &replicator{
 		self:     s.vm,
@@ -264,7 +282,7 @@
 	g, gctx := errgroup.WithContext(work)
 	g.Go(func() error { return n.server.Serve(listeners.peers) })
 	operators := n.serveHTTP(g, listeners.operators, n.operatorHandler())
-	var callers []*http.Server
+	var callers []*landing.Server
 	if n.source != nil {
 		callers = n.serveSource(gctx, g, listeners)
 	} else {
@@ -285,23 +303,24 @@
 // serveRecords serves the product's own HTTP interface, configured by the
 // records and rosters that nodes exchange. The bootstrap ends early with
 // bootstrapCtx, and the replication ends with ctx.
-func (n *Node) serveRecords(bootstrapCtx, ctx context.Context, g *errgroup.Group, l *listeners) []*http.Server {
+func (n *Node) serveRecords(bootstrapCtx, ctx context.Context, g *errgroup.Group, l *listeners) []*landing.Server {
 	n.replicator.bootstrap(bootstrapCtx)
 	mux := http.NewServeMux()
 	mux.HandleFunc(TicketPath, n.entry.serveTickets)
 	mux.Handle("/", n.entry.callerHandler())
-	callers := n.serveHTTP(g, l.callers, mux)
-	nested := n.serveHTTP(g, l.upstream, n.entry.nestedHandler())
+	opts := []landing.Option{landing.WithLimits(n.callerLimits), landing.WithConcurrent(n.entry.concurrent)}
+	callers := n.serveCallers(g, l.callers, mux, opts...)
+	nested := n.serveCallers(g, l.upstream, n.entry.nestedHandler(), opts...)
 	g.Go(func() error { return n.replicator.run(ctx) })
 	n.ready.Store(true)
 	n.log.Info().Str("event", "ready").Str("vm", n.settings.vm).Send()
-	return []*http.Server{callers, nested}
+	return []*landing.Server{callers, nested}
 }
 
 // serveSource serves the HTTP interface of an adapter, configured by its
 // source.
-func (n *Node) serveSource(ctx context.Context, g *errgroup.Group, l *listeners) []*http.Server {
-	f := &follower{
+func (n *Node) serveSource(ctx context.Context, g *errgroup.Group, l *listeners) []*landing.Server {
+	follow := &follower{
 		source:     n.source,
 		sink:       n,
 		clock:      n.clock,
@@ -311,16 +330,34 @@
 		log:        n.log,
 		guard:      n.guard,
 	}
-	g.Go(func() error { return f.run(ctx) })
+	g.Go(func() error { return follow.run(ctx) })
 	c := &copyFetcher{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log, guard: n.guard}
 	g.Go(func() error { return c.run(ctx) })
-	servers := []*http.Server{n.serveHTTP(g, l.callers, n.frontend(n))}
+	f := n.frontend(n)
+	servers := []*landing.Server{n.serveCallers(g, l.callers, f, landing.WithLimits(f.Limits), landing.WithConcurrent(f.Concurrent))}
 	if l.ready != nil {
-		servers = append(servers, n.serveHTTP(g, l.ready, http.HandlerFunc(n.serveReady)))
+		servers = append(servers, n.serveCallers(g, l.ready, http.HandlerFunc(n.serveReady)))
 	}
 	return servers
 }
 
+// callerLimits returns the limits on the callers of the product's own interface.
+func (n *Node) callerLimits() landing.Limits {
+	limits := landing.DefaultLimits()
+	limits.BodyTime = n.bodyTimeout
+	return limits
+}
+
+// serveCallers serves callers until the server is shut down.
+func (n *Node) serveCallers(g *errgroup.Group, l net.Listener, h http.Handler, opts ...landing.Option) *landing.Server {
+	if most := n.settings.vmLimits.maxCallerConns(); most > 0 {
+		opts = append(opts, landing.WithMaxConns(most))
+	}
+	s := landing.NewServer(n.guard.handler(h), opts...)
+	g.Go(func() error { return s.Serve(l) })
+	return s
+}
+
 func (n *Node) serveHTTP(g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler:           n.guard.handler(h),
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -43,7 +43,9 @@
 	leaving      atomic.Bool
 	// upstreamClosed is set while the upstream takes no new work.
 	upstreamClosed atomic.Bool
-	// inFlight counts the calls that are queued or running.
+	// memory is that for the bodies of the calls that are queued or running.
+	memory *ledger.Bytes
+	// inFlight counts these calls.
 	inFlight atomic.Int64
 }
 
@@ -160,6 +162,10 @@
 	if o.leaving.Load() || o.upstreamClosed.Load() {
 		return o.reject(c, reasonLeaving, deadline)
 	}
+	if !o.memory.Reserve(len(c.Body)) {
+		return o.reject(c, reasonMemory, deadline)
+	}
+	defer o.memory.Release(len(c.Body))
 	arrived := o.clock.Now()
 	ac := newAdmissionCall(c, deadline)
 	v := o.controller.Admit(arrived, ac)
--- a/depot/problem.go
+++ b/depot/problem.go
@@ -32,6 +32,7 @@
 	reasonCancelled          = "cancelled"
 	reasonDamaged            = "damaged"
 	reasonPanic              = "panic"
+	reasonMemory             = "memory"
 )
 
 // defaultRetryAfter is the Retry-After header of responses with status 503, in
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -26,6 +26,7 @@
 	adapter   AdapterSettings
 	retries   retrySettings
 	stop      stopSettings
+	vmLimits  vmLimitSettings
 	// heapGrowth is from 0 to maxHeapGrowth.
 	heapGrowth int
 }
@@ -117,6 +118,7 @@
 	Adapter   AdapterSettings   `yaml:"adapter"`
 	Retries   retrySettings     `yaml:"retries"`
 	Stop      stopSettings      `yaml:"stop"`
+	Limits    vmLimitSettings   `yaml:"limits"`
 	// HeapGrowth is how much the heap may grow between two garbage collections, in
 	// percent; 0 lets it grow to a fixed size.
 	HeapGrowth int `yaml:"heap_growth_percent"`
@@ -147,6 +149,9 @@
 // collections, in percent; 0 lets it grow to a fixed size.
 func (s *Settings) HeapGrowth() int { return s.heapGrowth }
 
+// Memory returns the memory of the VM for the process, in bytes; 0 if unknown.
+func (s *Settings) Memory() int64 { return int64(s.vmLimits.Memory) << 20 }
+
 // LoadSettings reads and checks the settings file at path. It returns an *Error
 // that lists every fault.
 func LoadSettings(path string) (*Settings, error) {
@@ -197,6 +202,7 @@
 		adapter:   f.Adapter,
 		retries:   f.Retries,
 		stop:      f.Stop,
+		vmLimits:  f.Limits,
 
 		heapGrowth: f.HeapGrowth,
 	}, nil
--- a/depot/settings_check.go
+++ b/depot/settings_check.go
@@ -166,6 +166,9 @@
 	if f.Stop.MaxDuration < 0 {
 		c.addFault(c.line("stop", "within_s"), "stop.within_s must be 0 or more")
 	}
+	if f.Limits.Memory < 0 || f.Limits.Descriptors < 0 {
+		c.addFault(c.line("", "limits"), "limits.memory_mb and limits.descriptors must be 0 or more")
+	}
 	if f.HeapGrowth < 0 || f.HeapGrowth > maxHeapGrowth {
 		c.addFault(c.line("", "heap_growth_percent"), "heap_growth_percent must be 0 to %d", maxHeapGrowth)
 	}
--- a/depot/settings_test.go
+++ b/depot/settings_test.go
@@ -63,6 +63,7 @@
 		{"headroom", "slots: 70", "slots: 70\n  headroom_percent: 80", "s.yaml:13: upstream.headroom_percent must be 0 to 50"},
 		{"share", "transport:", "retries: {share: 2}\ntransport:", "retries.share must be 0 to 1"},
 		{"stop", "transport:", "stop: {within_s: -1}\ntransport:", "stop.within_s must be"},
+		{"memory", "transport:", "limits: {memory_mb: -5}\ntransport:", "limits.memory_mb and limits.descriptors must be"},
 		{"heap", "transport:", "heap_growth_percent: -5\ntransport:", "heap_growth_percent must be"},
 		{"syntax", "transport:", "transport: [", "s.yaml:1"},
 	} {
--- a/depot/stop.go
+++ b/depot/stop.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"cuminhollow.example/clock"
+	"cuminhollow.example/landing"
 	"cuminhollow.example/portage"
 )
 
@@ -31,7 +31,7 @@
 
 // stop keeps serving until callers have seen that the node is not ready, then
 // drains the node, waits for the calls in progress and closes the ports.
-func (n *Node) stop(peers net.Listener, callers []*http.Server) {
+func (n *Node) stop(peers net.Listener, callers []*landing.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.stop.timeout())
 	defer cancel()
 	n.stopping.Store(true)
--- a/depot/work.go
+++ b/depot/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
@@ -37,6 +38,10 @@
 	// Dispatch sends the call to a VM that runs it and returns the answer. The
 	// context ends when the caller no longer waits.
 	Dispatch(ctx context.Context, c *IncomingCall) *portage.Answer
+	// ReadBody reads the body of a request, up to a limit in bytes, as far as the
+	// memory for bodies allows. When that fails, it returns the reason for rejecting
+	// the request. Release the body after Dispatch.
+	ReadBody(w http.ResponseWriter, q *http.Request, limit int64) (*Body, string)
 	// RecordRejection logs and counts a call that the adapter rejected itself,
 	// with the HTTP status and the reason that the caller got.
 	RecordRejection(id string, status int, reason string)
@@ -63,6 +68,11 @@
 	return a
 }
 
+// ReadBody implements Dispatcher.
+func (n *Node) ReadBody(w http.ResponseWriter, q *http.Request, limit int64) (*Body, string) {
+	return n.entry.bodies.Read(w, q, limit)
+}
+
 // RecordRejection implements Dispatcher.
 func (n *Node) RecordRejection(id string, status int, reason string) {
 	n.decisions.rejectedAtEntry(id, status, reason, n.configurationVersion())
--- a/node/main.go
+++ b/node/main.go
@@ -84,6 +84,9 @@
 		return trace.Wrap(err)
 	}
 	go watchSettings(ctx, c.String("settings"), n, log)
+	if memory := s.Memory(); memory > 0 {
+		setMemoryLimit(memory)
+	}
 	if percent := s.HeapGrowth(); percent > 0 {
 		setHeapGrowth(percent)
 	} else {
--- a/node/memory.go
+++ b/node/memory.go
@@ -21,6 +21,16 @@
 	maxGCPercent = 1000
 )
 
+// memoryLimitShare is the share of the VM's memory that the runtime uses before
+// it collects garbage more often. The rest is for the kernel's buffers.
+const memoryLimitShare = 0.7
+
+// setMemoryLimit makes the garbage collector run more often when the process
+// approaches the memory of its VM, in bytes.
+func setMemoryLimit(memory int64) {
+	debug.SetMemoryLimit(int64(float64(memory) * memoryLimitShare))
+}
+
 // setHeapGrowth makes the garbage collector run when the heap has grown by
 // percent of the live heap. It is for VMs on which memory costs more than CPU
 // time.
--- a/portage/channel.go
+++ b/portage/channel.go
@@ -51,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := ch.conn.send(q); err != nil {
+	out, err := ch.conn.send(ctx, q)
+	if err != nil {
 		ch.remove(q.streamNumber())
 		return nil, err
 	}
@@ -59,10 +60,13 @@
 	case r := <-results:
 		return r.response, r.err
 	case <-ctx.Done():
-		ch.remove(q.streamNumber())
-		_ = ch.conn.trySend(&Cancel{Stream: q.streamNumber()})
-		return nil, &Error{Op: "receive", Kind: KindLost, Err: ctx.Err()}
 	}
+	ch.remove(q.streamNumber())
+	if out.withdraw() {
+		return nil, &Error{Op: "send", Kind: KindNotSent, Err: ctx.Err()}
+	}
+	_ = ch.conn.trySend(&Cancel{Stream: q.streamNumber()})
+	return nil, &Error{Op: "receive", Kind: KindLost, Err: ctx.Err()}
 }
 
 func (ch *channel) add(q Request) (chan result, error) {
--- a/portage/conn.go
+++ b/portage/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,14 +12,20 @@
 const (
 	// sendQueueSize is the maximum number of frames queued for writing.
 	sendQueueSize = 64
-	// writeTimeout limits a write to a peer that does not read.
+	// writeTimeout limits the write of one frame to a peer that does not read.
 	writeTimeout = 5 * time.Second
 	// bufferSize is the size of the read buffer and of the write buffer of a
 	// connection, in bytes.
 	bufferSize = 8 << 10
+	// maxDirectWrite is the size of a frame up to which its sender writes it, in
+	// bytes.
+	maxDirectWrite = 16 << 10
 	// drainTimeout limits the wait for the peer to close its side of the
 	// connection.
 	drainTimeout = 500 * time.Millisecond
+	// progressInterval is the interval of signs of life while a long message
+	// arrives.
+	progressInterval = 50 * time.Millisecond
 )
 
 // conn is a framed connection. The goroutine that sends a frame writes it
@@ -31,7 +38,7 @@
 	reader  *bufio.Reader
 	// writeMu is held while bytes are written.
 	writeMu   sync.Mutex
-	queue     chan []byte
+	queue     chan *outgoing
 	closed    chan struct{}
 	closeOnce sync.Once
 	// draining is closed by drain to end the connection after the queued frames
@@ -40,13 +47,17 @@
 	drainOnce sync.Once
 	// reads counts the reads that returned bytes.
 	reads atomic.Uint64
+	// reportsProgress is set on connections of a server, and progressAt is when
+	// progress was last reported. Only the reading goroutine uses them.
+	reportsProgress bool
+	progressAt      time.Time
 }
 
 func newConn(raw net.Conn, traffic *Traffic) *conn {
 	c := &conn{
 		netConn: raw,
 		traffic: traffic,
-		queue:   make(chan []byte, sendQueueSize),
+		queue:   make(chan *outgoing, sendQueueSize),
 		closed:  make(chan struct{}),
 
 		draining: make(chan struct{}),
@@ -67,39 +78,44 @@
 	return n, err
 }
 
-// send writes m or queues it for writing. An error means that no byte of m was
+// send writes m or queues it for writing, and returns the frame. It waits until
+// there is room in the queue or ctx ends. An error means that no byte of m was
 // written.
-func (c *conn) send(m Message) error {
+func (c *conn) send(ctx context.Context, m Message) (*outgoing, error) {
 	frame, err := AppendFrame(nil, m)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	select {
 	case <-c.closed:
-		return &Error{Op: "send", Kind: KindClosed, Err: net.ErrClosed}
+		return nil, &Error{Op: "send", Kind: KindClosed, Err: net.ErrClosed}
 	default:
 	}
 	c.traffic.add(m, len(frame))
-	if c.tryWrite(frame) {
-		return nil
+	out := &outgoing{frame: frame}
+	if c.tryWrite(out) {
+		return out, nil
 	}
 	select {
-	case c.queue <- frame:
-		return nil
+	case c.queue <- out:
+		return out, nil
 	case <-c.closed:
-		return &Error{Op: "send", Kind: KindClosed, Err: net.ErrClosed}
+		return nil, &Error{Op: "send", Kind: KindClosed, Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, &Error{Op: "send", Kind: KindNotSent, Err: ctx.Err()}
 	}
 }
 
-// tryWrite writes a frame if no other frame is being written or queued, and
-// reports whether it did. A failed write closes the connection and also returns
+// tryWrite writes a short frame if no other frame is being written or queued, and
+// reports whether it did. A long one could keep its sender beyond its deadline. A failed write closes the connection and also returns
 // true, because part of the frame may have been sent.
-func (c *conn) tryWrite(frame []byte) bool {
-	if len(c.queue) > 0 || !c.writeMu.TryLock() {
+func (c *conn) tryWrite(out *outgoing) bool {
+	if len(out.frame) > maxDirectWrite || len(c.queue) > 0 || !c.writeMu.TryLock() {
 		return false
 	}
 	defer c.writeMu.Unlock()
-	if !c.writeAll(frame) {
+	out.take()
+	if !c.writeAll(out.frame) {
 		c.close()
 	}
 	return true
@@ -113,7 +129,17 @@
 
 // receive reads the next message. It returns the errors of ReadFrame.
 func (c *conn) receive() (Message, error) {
-	return ReadFrame(c.reader)
+	return readFrame(c.reader, c.reportProgress)
+}
+
+// reportProgress tells the peer of a server's connection that bytes of a long
+// message arrive. Its pings wait behind that message, and without a sign of life
+// it would take the connection for a silent one.
+func (c *conn) reportProgress() {
+	if c.reportsProgress && time.Since(c.progressAt) >= progressInterval {
+		c.progressAt = time.Now()
+		_ = c.trySend(&Pong{})
+	}
 }
 
 func (c *conn) close() {
@@ -130,8 +156,8 @@
 		select {
 		case <-c.closed:
 			return
-		case frame := <-c.queue:
-			if !c.writeBatch(w, frame) {
+		case out := <-c.queue:
+			if !c.writeBatch(w, out) {
 				return
 			}
 		case <-c.draining:
@@ -141,17 +167,19 @@
 	}
 }
 
-// writeBatch writes frame and all queued frames.
-func (c *conn) writeBatch(w *bufio.Writer, frame []byte) bool {
+// writeBatch writes a frame and all queued frames that were not withdrawn.
+func (c *conn) writeBatch(w *bufio.Writer, out *outgoing) bool {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for {
-		if _, err := w.Write(frame); err != nil {
-			return false
+		_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if out.take() {
+			if _, err := w.Write(out.frame); err != nil {
+				return false
+			}
 		}
 		select {
-		case frame = <-c.queue:
+		case out = <-c.queue:
 		default:
 			return w.Flush() == nil
 		}
@@ -166,7 +194,7 @@
 		return err
 	}
 	select {
-	case c.queue <- frame:
+	case c.queue <- &outgoing{frame: frame}:
 		c.traffic.add(m, len(frame))
 		return nil
 	default:
--- a/portage/frame.go
+++ b/portage/frame.go
@@ -27,6 +27,10 @@
 
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
+// maxPooledBuffer is the size of a buffer above which it is not kept for further
+// frames, in bytes.
+const maxPooledBuffer = 64 << 10
+
 // Checksum returns the checksum of a body, its 64-bit xxHash.
 func Checksum(body []byte) uint64 { return xxhash.Sum64(body) }
 
@@ -35,7 +39,11 @@
 // be encoded.
 func AppendFrame(dst []byte, m Message) ([]byte, error) {
 	buf := bufferPool.Get().(*bytes.Buffer)
-	defer bufferPool.Put(buf)
+	defer func() {
+		if buf.Cap() <= maxPooledBuffer {
+			bufferPool.Put(buf)
+		}
+	}()
 	buf.Reset()
 	if err := encode(buf, m); err != nil {
 		return nil, err
@@ -65,7 +73,11 @@
 // ReadFrame reads one message. It returns io.EOF when the stream ends between
 // frames, io.ErrUnexpectedEOF when it ends within a frame, an *Error of
 // KindSize or KindFrame for an invalid frame, and the reader's error otherwise.
-func ReadFrame(r io.Reader) (Message, error) {
+func ReadFrame(r io.Reader) (Message, error) { return readFrame(r, func() {}) }
+
+// readFrame is ReadFrame with a function that is called as the pieces of a long
+// payload arrive.
+func readFrame(r io.Reader, onProgress func()) (Message, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -74,7 +86,7 @@
 	if size > MaxFrame {
 		return nil, &Error{Op: "read frame", Kind: KindSize}
 	}
-	payload, err := readPayload(r, int(size))
+	payload, err := readPayload(r, int(size), onProgress)
 	if err != nil {
 		return nil, err
 	}
@@ -86,20 +98,33 @@
 
 // readPayload reads a payload of size bytes. Above maxPreallocation it grows
 // the buffer as bytes arrive.
-func readPayload(r io.Reader, size int) ([]byte, error) {
+func readPayload(r io.Reader, size int, onProgress func()) ([]byte, error) {
 	if size <= maxPreallocation {
 		payload := make([]byte, size)
 		_, err := io.ReadFull(r, payload)
 		return payload, unexpectedEOF(err)
 	}
 	var buf bytes.Buffer
-	n, err := io.CopyN(&buf, r, int64(size))
+	n, err := io.CopyN(&buf, progressReader{r, onProgress}, int64(size))
 	if n < int64(size) {
 		return nil, unexpectedEOF(err)
 	}
 	return buf.Bytes(), nil
 }
 
+// progressReader calls a function after each read.
+type progressReader struct {
+	io.Reader
+	onProgress func()
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.onProgress()
+	return n, err
+}
+
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/portage/inbound.go
+++ b/portage/inbound.go
@@ -89,7 +89,7 @@
 		return
 	}
 	r.setStreamNumber(number)
-	_ = in.conn.send(r)
+	_, _ = in.conn.send(context.Background(), r)
 }
 
 func (in *inbound) cancelStream(number uint64) {
--- a/portage/link.go
+++ b/portage/link.go
@@ -71,7 +71,8 @@
 	if err != nil {
 		return err
 	}
-	return ch.conn.send(n)
+	_, err = ch.conn.send(ctx, n)
+	return err
 }
 
 // Connected reports whether the link has a connection.
@@ -165,7 +166,7 @@
 
 func (l *Link) handshake(c *conn) (*Welcome, error) {
 	hello := l.hello
-	if err := c.send(&hello); err != nil {
+	if _, err := c.send(context.Background(), &hello); err != nil {
 		return nil, err
 	}
 	m, err := c.receive()
--- a/portage/server.go
+++ b/portage/server.go
@@ -152,6 +152,7 @@
 func (s *Server) serveConn(raw net.Conn) {
 	_ = raw.SetReadDeadline(time.Now().Add(s.settings.dialTimeout))
 	c := newConn(s.settings.wrapServer(raw), s.settings.traffic)
+	c.reportsProgress = true
 	defer c.close()
 	defer s.settings.recoverPanic("inbound connection", c.close)
 	if !s.add(c) {
@@ -186,5 +187,6 @@
 	peer := Peer{VM: hello.VM, Incarnation: hello.Incarnation}
 	welcome := s.handler.Greet(peer)
 	welcome.Version = ProtocolVersion
-	return peer, c.send(&welcome)
+	_, err = c.send(context.Background(), &welcome)
+	return peer, err
 }
--- a/portage/silence_test.go
+++ b/portage/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"testing"
 	"time"
 )
@@ -38,6 +40,48 @@
 	}
 }
 
+// TestSlowLinkIsNotSilent sends a long call over a link that takes longer for it
+// than the silence timeout. The connection must not be given up meanwhile.
+func TestSlowLinkIsNotSilent(t *testing.T) {
+	_, _, address := startEcho(t)
+	relay, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = relay.Close() }()
+	go func() {
+		in, err := relay.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(in, out) }()
+		// About 2 MB a second.
+		piece := make([]byte, 20<<10)
+		for {
+			n, err := in.Read(piece)
+			if err != nil {
+				return
+			}
+			_, _ = out.Write(piece[:n])
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	link := NewLink(relay.Addr().String(), Hello{VM: "a"}, WithKeepalive(50*time.Millisecond, 200*time.Millisecond))
+	defer link.Close()
+	body := make([]byte, MaxBody)
+	r, err := link.Do(t.Context(), &Call{Body: body})
+	if err != nil {
+		t.Fatalf("got %v, want an answer", err)
+	}
+	if got := len(r.(*Answer).Body); got != len(body) {
+		t.Errorf("got a body of %d bytes, want %d", got, len(body))
+	}
+}
+
 // TestIdleCloseIsAtomic checks that a request is either on the connection before
 // it is closed as idle, or told that no byte of it was written.
 func TestIdleCloseIsAtomic(t *testing.T) {
