--- a/portage/conn.go
+++ b/portage/conn.go
@@ -107,7 +107,8 @@
 }
 
 // tryWrite writes a short frame if no other frame is being written or queued, and
-// reports whether it did. A long one could keep its sender beyond its deadline. A failed write closes the connection and also returns
+// reports whether it did. A long one could keep its sender beyond its deadline. A
+// failed write closes the connection and also returns
 // true, because part of the frame may have been sent.
 func (c *conn) tryWrite(out *outgoing) bool {
 	if len(out.frame) > maxDirectWrite || len(c.queue) > 0 || !c.writeMu.TryLock() {
