portage: the test of a peer that does not read counts the calls that can be withdrawn

The mutation 'frame cannot be withdrawn' was not caught: without it the calls in the queue were told as lost instead of not sent, which the test allowed.

--- a/portage/outgoing_test.go
+++ b/portage/outgoing_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -16,7 +17,12 @@
 	// The bodies fill the buffers of the connection many times, and are encoded in a
 	// small part of timeLeft even if the processors are busy.
 	const calls, bodySize, timeLeft = 2 * sendQueueSize, 128 << 10, 500 * time.Millisecond
-	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bodySize)
+		})
+	}}
+	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,6 +82,9 @@
 	if kinds[KindNotSent] == 0 || kinds[KindLost] == 0 || kinds[KindNotSent]+kinds[KindLost] != calls {
 		t.Errorf("got %v, want only some not sent and some lost", kinds)
 	}
+	if got := kinds[KindLost]; got >= sendQueueSize {
+		t.Errorf("%d calls were lost, want fewer than the %d in the queue, which can be withdrawn", got, sendQueueSize)
+	}
 	close(resume)
 	time.Sleep(200 * time.Millisecond)
 	link.Close()
