depot, cuminhollow: only the same machine or a token may drain a node

Cause: whoever reached the operators' port could make a node take no more work (docs/PROOFS.md had it as not shown). New setting operators.token_file: a drain needs the token in Authorization; without the setting it is taken from the same machine only. The file is read at each request, so a token can be replaced. Reports and metrics stay open, since they change nothing.

--- a/cuminhollow/ask.go
+++ b/cuminhollow/ask.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 	maxParallelQueries = 32
 )
 
+// tokenFlag is the flag with the path of the file that holds the operators' token.
+const tokenFlag = "token-file"
+
 // reply is the answer of one node.
 type reply[T any] struct {
 	Node  string `json:"node"`
@@ -45,6 +49,25 @@
 // queryNodes sends a request to all nodes and returns their replies in the
 // order of the nodes. It fails if no node is given or none answers.
 func queryNodes[T any](ctx context.Context, c *cli.Command, method, path string) ([]reply[T], error) {
+	return queryNodesAs[T](ctx, c, "", method, path)
+}
+
+// readToken returns the token in the file given by --token-file; empty if none is
+// given.
+func readToken(c *cli.Command) (string, error) {
+	path := c.String(tokenFlag)
+	if path == "" {
+		return "", nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	return strings.TrimSpace(string(content)), nil
+}
+
+// queryNodesAs is queryNodes with a token, unless that is empty.
+func queryNodesAs[T any](ctx context.Context, c *cli.Command, token, method, path string) ([]reply[T], error) {
 	nodes, err := nodeAddresses(c)
 	if err != nil {
 		return nil, err
@@ -58,7 +81,7 @@
 			defer wg.Done()
 			semaphore <- struct{}{}
 			defer func() { <-semaphore }()
-			replies[i] = queryNode[T](ctx, node, method, path)
+			replies[i] = queryNode[T](ctx, node, token, method, path)
 		}()
 	}
 	wg.Wait()
@@ -70,7 +93,7 @@
 	return nil, trace.ConnectionProblem(nil, "no node answered: %s: %s", replies[0].Node, replies[0].Error)
 }
 
-func queryNode[T any](ctx context.Context, node, method, path string) reply[T] {
+func queryNode[T any](ctx context.Context, node, token, method, path string) reply[T] {
 	out := reply[T]{Node: node}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -79,6 +102,9 @@
 		out.Error = err.Error()
 		return out
 	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		out.Error = err.Error()
@@ -86,7 +112,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		out.Error = fmt.Sprintf("status %d", res.StatusCode)
+		out.Error = describeStatus(res.StatusCode)
 		return out
 	}
 	if err := json.NewDecoder(res.Body).Decode(&out.Value); err != nil {
@@ -94,3 +120,18 @@
 	}
 	return out
 }
+
+// describeStatus returns the error of a node that answered with a status other
+// than 200.
+func describeStatus(status int) string {
+	switch status {
+	case http.StatusUnauthorized:
+		return "status 401: the node needs another token, see --" + tokenFlag
+	case http.StatusForbidden:
+		return "status 403: the node has no token set and takes changes only from its own machine"
+	case http.StatusServiceUnavailable:
+		return "status 503: the node cannot read its token file"
+	default:
+		return fmt.Sprintf("status %d", status)
+	}
+}
--- a/cuminhollow/command_test.go
+++ b/cuminhollow/command_test.go
@@ -115,3 +115,31 @@
 		t.Errorf("diff: got %q, %v, want the fields that change", got, err)
 	}
 }
+
+// TestDrainToken checks that drain sends the token of the file, and that it says
+// why a node refused.
+func TestDrainToken(t *testing.T) {
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer 0123456789abcdef" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		_, _ = w.Write([]byte(`{"vm":"seal-1","leaving":true}`))
+	}))
+	t.Cleanup(node.Close)
+	address := strings.TrimPrefix(node.URL, "http://")
+	file := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(file, []byte("0123456789abcdef\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got, err := runCommand(t, "drain", "--nodes", address, "--token-file", file)
+	if err != nil || !strings.Contains(got, "leaving") {
+		t.Errorf("with the token: got %q, %v", got, err)
+	}
+	if _, err := runCommand(t, "drain", "--nodes", address); err == nil || !strings.Contains(err.Error(), "--token-file") {
+		t.Errorf("without a token: got %v, want a hint", err)
+	}
+	if _, err := runCommand(t, "drain", "--nodes", address, "--token-file", file+"x"); err == nil {
+		t.Error("missing file: got no error, want one")
+	}
+}
--- a/cuminhollow/main.go
+++ b/cuminhollow/main.go
@@ -38,6 +38,10 @@
 	}
 	timestamps := cli.TimestampConfig{Layouts: []string{time.RFC3339Nano}}
 	output := &cli.StringFlag{Name: "output", Value: outputTable, Usage: "`FORMAT` of the output: table or json"}
+	token := &cli.StringFlag{
+		Name: tokenFlag, Usage: "`FILE` with the token that the nodes are set to ask for",
+		Sources: cli.EnvVars("CUMINHOLLOW_TOKEN_FILE"),
+	}
 	reportCommand := func(name, usage, args string, action cli.ActionFunc) *cli.Command {
 		return &cli.Command{
 			Name:      name,
@@ -63,7 +67,10 @@
 			reportCommand("explain", "show which record of a kind is in force and what the nodes do with it", "KIND", explain),
 			reportCommand("audit", "show which changes the nodes saw", "", audit),
 			reportCommand("rollout", "show how many nodes hold which revision", "[KEY]", rollout),
-			reportCommand("drain", "make nodes stop accepting new work", "", drain),
+			{
+				Name: "drain", Usage: "make nodes stop accepting new work", Action: drain,
+				Flags: []cli.Flag{nodes, output, token},
+			},
 			{
 				Name: "trace", Usage: "explain from logs why a request ended as it did",
 				ArgsUsage: "ID [FILE...]", Flags: []cli.Flag{output}, Action: traceRequest,
--- a/cuminhollow/report.go
+++ b/cuminhollow/report.go
@@ -27,7 +27,11 @@
 
 // drain makes nodes stop accepting new work and prints their state.
 func drain(ctx context.Context, c *cli.Command) error {
-	replies, err := queryNodes[depot.Status](ctx, c, http.MethodPost, "/v1/drain")
+	token, err := readToken(c)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	replies, err := queryNodesAs[depot.Status](ctx, c, token, http.MethodPost, "/v1/drain")
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/depot/reload.go
+++ b/depot/reload.go
@@ -30,6 +30,7 @@
 		"retries":   s.retries != n.settings.retries,
 		"stop":      s.stop != n.settings.stop,
 		"limits":    s.vmLimits != n.settings.vmLimits,
+		"operators": s.operators != n.settings.operators,
 
 		"heap_growth_percent":     s.heapGrowth != n.settings.heapGrowth,
 		"adapter.answer_grace_ms": s.adapter.AnswerGrace != n.settings.adapter.AnswerGrace,
--- a/depot/settings.go
+++ b/depot/settings.go
@@ -27,6 +27,7 @@
 	retries   retrySettings
 	stop      stopSettings
 	vmLimits  vmLimitSettings
+	operators operatorSettings
 	// heapGrowth is from 0 to maxHeapGrowth.
 	heapGrowth int
 }
@@ -119,6 +120,7 @@
 	Retries   retrySettings     `yaml:"retries"`
 	Stop      stopSettings      `yaml:"stop"`
 	Limits    vmLimitSettings   `yaml:"limits"`
+	Operators operatorSettings  `yaml:"operators"`
 	// HeapGrowth is how much the heap may grow between two garbage collections, in
 	// percent; 0 lets it grow to a fixed size.
 	HeapGrowth int `yaml:"heap_growth_percent"`
@@ -203,6 +205,7 @@
 		retries:   f.Retries,
 		stop:      f.Stop,
 		vmLimits:  f.Limits,
+		operators: f.Operators,
 
 		heapGrowth: f.HeapGrowth,
 	}, nil
