--- a/depot/node.go
+++ b/depot/node.go
@@ -4,10 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
-	"errors"
-	"log"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -22,7 +19,6 @@
 	"cuminhollow.example/record"
 	"cuminhollow.example/registry"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -98,38 +94,6 @@
 	incarnation uint64
 }
 
-// Option configures a Node.
-type Option func(*Node)
-
-// WithLogger sets the logger; the default discards all events.
-func WithLogger(l zerolog.Logger) Option {
-	return func(n *Node) { n.log = l }
-}
-
-// WithBodyTimeout limits how long reading a whole request may take; the default
-// is 30 s.
-func WithBodyTimeout(d time.Duration) Option {
-	return func(n *Node) { n.bodyTimeout = d }
-}
-
-// WithSource sets the source of routes and VMs. By default the node reads
-// records and rosters from the platform and from peers.
-func WithSource(s Source) Option {
-	return func(n *Node) { n.source = s }
-}
-
-// WithGauge adds a metric of the embedding program. The value function is
-// called at each scrape.
-func WithGauge(name, description, unit string, value func() int64) Option {
-	return func(n *Node) { n.gauges = append(n.gauges, gauge{name, description, unit, value}) }
-}
-
-// WithSeeds sets the peer addresses of the nodes to query while the source is
-// unavailable and no VM is known; the default is the seeds of the settings.
-func WithSeeds(addresses []string) Option {
-	return func(n *Node) { n.seeds = addresses }
-}
-
 // Frontend handles the requests of callers and of the VM's own upstream.
 type Frontend interface {
 	http.Handler
@@ -140,18 +104,6 @@
 	Limits() landing.Limits
 }
 
-// WithFrontend sets the handler for the calls of callers and of the VM's own
-// upstream; the default is the product's own HTTP interface.
-func WithFrontend(frontend func(Dispatcher) Frontend) Option {
-	return func(n *Node) { n.frontend = frontend }
-}
-
-// WithUpstream sets the client of the VM's own upstream; the default uses the
-// product's own HTTP interface.
-func WithUpstream(u Upstream) Option {
-	return func(n *Node) { n.upstream = u }
-}
-
 // New builds a node. It returns an *Error if the metrics or the TLS keys cannot
 // be set up. It opens no sockets; Run does.
 func New(s *Settings, opts ...Option) (*Node, error) {
@@ -268,114 +220,6 @@
 	return booking.NewController(u.Slots, opts...)
 }
 
-// Run serves until ctx ends, then stops gracefully: it rejects new calls,
-// finishes the calls in progress and returns nil. It returns an *Error if a
-// port cannot be opened.
-func (n *Node) Run(ctx context.Context) error {
-	listeners, err := n.listen(ctx)
-	if err != nil {
-		return err
-	}
-	defer listeners.close()
-	work, stopWork := context.WithCancelCause(context.Background())
-	defer stopWork(errShutdown)
-	g, gctx := errgroup.WithContext(work)
-	g.Go(func() error { return n.server.Serve(listeners.peers) })
-	operators := n.serveHTTP(g, listeners.operators, n.operatorHandler())
-	var callers []*landing.Server
-	if n.source != nil {
-		callers = n.serveSource(gctx, g, listeners)
-	} else {
-		callers = n.serveRecords(ctx, gctx, g, listeners)
-	}
-	select {
-	case <-ctx.Done():
-	case <-gctx.Done():
-	}
-	n.stop(listeners.peers, callers)
-	_ = operators.Close()
-	stopWork(errShutdown)
-	err = g.Wait()
-	n.log.Info().Str("event", "stopped").Str("vm", n.settings.vm).Send()
-	return err
-}
-
-// serveRecords serves the product's own HTTP interface, configured by the
-// records and rosters that nodes exchange. The bootstrap ends early with
-// bootstrapCtx, and the replication ends with ctx.
-func (n *Node) serveRecords(bootstrapCtx, ctx context.Context, g *errgroup.Group, l *listeners) []*landing.Server {
-	n.replicator.bootstrap(bootstrapCtx)
-	mux := http.NewServeMux()
-	mux.HandleFunc(TicketPath, n.entry.serveTickets)
-	mux.Handle("/", n.entry.callerHandler())
-	opts := []landing.Option{landing.WithLimits(n.callerLimits), landing.WithConcurrent(n.entry.concurrent)}
-	callers := n.serveCallers(g, l.callers, mux, opts...)
-	nested := n.serveCallers(g, l.upstream, n.entry.nestedHandler(), opts...)
-	g.Go(func() error { return n.replicator.run(ctx) })
-	n.ready.Store(true)
-	n.log.Info().Str("event", "ready").Str("vm", n.settings.vm).Send()
-	return []*landing.Server{callers, nested}
-}
-
-// serveSource serves the HTTP interface of an adapter, configured by its
-// source.
-func (n *Node) serveSource(ctx context.Context, g *errgroup.Group, l *listeners) []*landing.Server {
-	follow := &follower{
-		source:     n.source,
-		sink:       n,
-		clock:      n.clock,
-		watchers:   n.watchers,
-		peers:      n.peers,
-		copyServer: n.copyServer,
-		log:        n.log,
-		guard:      n.guard,
-	}
-	g.Go(func() error { return follow.run(ctx) })
-	c := &copyFetcher{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log, guard: n.guard}
-	g.Go(func() error { return c.run(ctx) })
-	f := n.frontend(n)
-	servers := []*landing.Server{n.serveCallers(g, l.callers, f, landing.WithLimits(f.Limits), landing.WithConcurrent(f.Concurrent))}
-	if l.ready != nil {
-		servers = append(servers, n.serveCallers(g, l.ready, http.HandlerFunc(n.serveReady)))
-	}
-	return servers
-}
-
-// callerLimits returns the limits on the callers of the product's own interface.
-func (n *Node) callerLimits() landing.Limits {
-	limits := landing.DefaultLimits()
-	limits.BodyTime = n.bodyTimeout
-	return limits
-}
-
-// serveCallers serves callers until the server is shut down.
-func (n *Node) serveCallers(g *errgroup.Group, l net.Listener, h http.Handler, opts ...landing.Option) *landing.Server {
-	if most := n.settings.vmLimits.maxCallerConns(); most > 0 {
-		opts = append(opts, landing.WithMaxConns(most))
-	}
-	s := landing.NewServer(n.guard.handler(h), opts...)
-	g.Go(func() error { return s.Serve(l) })
-	return s
-}
-
-func (n *Node) serveHTTP(g *errgroup.Group, l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{
-		Handler:           n.guard.handler(h),
-		ErrorLog:          log.New(n.log.With().Str("event", "http-server").Logger(), "", 0),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       n.bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	g.Go(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return &Error{Op: "serve", Kind: KindListen, Err: err}
-		}
-		return nil
-	})
-	return s
-}
-
 // Greet implements portage.Handler.
 func (n *Node) Greet(p portage.Peer) portage.Welcome {
 	return portage.Welcome{
