soak: seeded faults against real processes

It checks from outside: work at most once, "not run" true, own answers, nothing cut off by a planned stop, nobody ends by itself, revisions in force in 16 s and never back, recovery within 5 s. Reports in JSON with a plot; logs of seeds that broke a rule are kept; replay, schedule.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 BIN := bin
 TOOLS := bin/tools
 LINT_VERSION := v2.15.0
-MODULES := . ./node ./cuminhollow ./load ./standin/platform ./standin/upstream
+MODULES := . ./node ./cuminhollow ./load ./soak ./standin/platform ./standin/upstream
 PACKAGES := $(MODULES:%=%/...)
-PROGRAMS := ./node ./cuminhollow ./load ./standin/platform ./standin/upstream
+PROGRAMS := ./node ./cuminhollow ./load ./soak ./standin/platform ./standin/upstream
 
 .PHONY: all build demo test unit race lint fmt spec fuzz clean
 
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"cuminhollow.example/standin/fleet"
+)
+
+const (
+	// stopTimeout bounds a planned stop of a node.
+	stopTimeout = 10 * time.Second
+	// slowTime is the run time of a slow upstream, and normalTime that of others.
+	slowTime   = "200ms"
+	normalTime = "15ms"
+)
+
+// apply carries out an event and returns when it is over.
+func (r *run) apply(e event) {
+	if e.Kind.ofPlatform() {
+		r.applyToPlatform(e)
+		return
+	}
+	v := r.vms[e.VM]
+	switch e.Kind {
+	case faultKill, faultStop, faultPauseNode, faultPauseUpstream:
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		r.applyToProcess(v, e)
+	case faultBreak:
+		r.fleet.Relay(v.VM).CloseConnections()
+	case faultSilence:
+		r.fleet.Relay(v.VM).Blackhole()
+	case faultCut:
+		r.fleet.Relay(v.VM).Disable()
+		time.Sleep(e.Span)
+		r.fleet.Relay(v.VM).Enable()
+	case faultSlow:
+		r.setServiceTime(v, slowTime)
+		time.Sleep(e.Span)
+		r.setServiceTime(v, normalTime)
+	default:
+		r.fail(fmt.Errorf("unknown fault %q", e.Kind))
+	}
+}
+
+// applyToProcess carries out an event on a process of a VM. The caller holds v.mu.
+func (r *run) applyToProcess(v *vmState, e event) {
+	defer v.begin(e.Kind, r.now)()
+	switch e.Kind {
+	case faultKill:
+		if v.Node.Exited() {
+			r.judge.add(finding{Rule: ruleExit, Subject: v.Name, Detail: "the node had ended before it was killed"})
+		}
+		v.Node.Kill()
+		time.Sleep(e.Span)
+		r.start(v)
+	case faultStop:
+		if err := v.Node.Terminate(stopTimeout); err != nil {
+			r.judge.add(finding{Rule: ruleExit, Subject: v.Name, Detail: fmt.Sprintf("planned stop: %v", err)})
+		}
+		time.Sleep(e.Span)
+		r.start(v)
+	case faultPauseNode:
+		pause(v.Node, e.Span)
+	case faultPauseUpstream:
+		pause(v.Upstream, e.Span)
+	default:
+		r.fail(fmt.Errorf("fault %q is not one of a process", e.Kind))
+	}
+}
+
+func pause(p *fleet.Process, d time.Duration) {
+	p.Pause()
+	time.Sleep(d)
+	p.Resume()
+}
+
+// start starts a node again and waits until it is ready, so that the next fault
+// does not hit a node that never served.
+func (r *run) start(v *vmState) {
+	if err := v.Node.Restart(); err != nil {
+		r.judge.add(finding{Rule: ruleExit, Subject: v.Name, Detail: fmt.Sprintf("start: %v", err)})
+		return
+	}
+	for end := time.Now().Add(readyTimeout); !r.fleet.Ready(v.VM); time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			r.judge.add(finding{Rule: ruleRecover, Subject: v.Name, Detail: fmt.Sprintf("not ready %s after its start", readyTimeout)})
+			return
+		}
+	}
+}
+
+// applyToPlatform carries out an event on the platform.
+func (r *run) applyToPlatform(e event) {
+	r.platformMu.Lock()
+	defer r.platformMu.Unlock()
+	switch e.Kind {
+	case faultPublish:
+		if err := r.fleet.Publish("records/"+kindHistory, historyRecord(r.revision+1)); err != nil {
+			r.fail(err)
+			return
+		}
+		r.revision++
+	case faultPlatformDown:
+		r.setPlatform("down")
+		time.Sleep(e.Span)
+		r.setPlatform("up")
+	default:
+		r.fail(fmt.Errorf("fault %q is not one of the platform", e.Kind))
+	}
+}
+
+func (r *run) setPlatform(mode string) {
+	if err := r.fleet.SetPlatformMode(mode); err != nil {
+		r.fail(err)
+	}
+}
+
+// setServiceTime sets the run time of an upstream. One that is paused takes it when
+// it goes on.
+func (r *run) setServiceTime(v *vmState, d string) {
+	for range 3 {
+		if r.fleet.SetUpstream(v.VM, "service-time="+d) == nil {
+			return
+		}
+	}
+	r.fail(fmt.Errorf("upstream of %s does not answer", v.Name))
+}
--- /dev/null
+++ b/soak/schedule.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// faultKind names a fault.
+type faultKind string
+
+// The faults that a schedule draws from.
+const (
+	// faultKill kills a node and starts it again after the span of the event.
+	faultKill faultKind = "kill"
+	// faultStop stops a node as planned and starts it again after the span.
+	faultStop faultKind = "stop"
+	// faultPauseNode and faultPauseUpstream suspend a process for the span.
+	faultPauseNode     faultKind = "pause-node"
+	faultPauseUpstream faultKind = "pause-upstream"
+	// faultBreak closes the connections between nodes to a VM.
+	faultBreak faultKind = "break"
+	// faultSilence discards what is sent on these connections without closing them.
+	faultSilence faultKind = "silence"
+	// faultCut refuses connections to a VM for the span.
+	faultCut faultKind = "cut"
+	// faultSlow makes an upstream slower for the span.
+	faultSlow faultKind = "slow"
+	// faultPlatformDown makes the platform answer no reads for the span.
+	faultPlatformDown faultKind = "platform-down"
+	// faultPublish publishes a new revision of a record.
+	faultPublish faultKind = "publish"
+)
+
+// faultWeights hold how often each fault is drawn.
+var faultWeights = []struct {
+	kind   faultKind
+	weight int
+}{
+	{faultKill, 3},
+	{faultStop, 4},
+	{faultPauseNode, 3},
+	{faultPauseUpstream, 2},
+	{faultBreak, 3},
+	{faultSilence, 2},
+	{faultCut, 2},
+	{faultSlow, 2},
+	{faultPlatformDown, 1},
+	{faultPublish, 4},
+}
+
+const (
+	// quietStart is the time before the first fault.
+	quietStart = time.Second
+	// meanGap is the mean time between two faults.
+	meanGap = 500 * time.Millisecond
+	// minSpan and maxSpan bound the duration of a fault.
+	minSpan = 100 * time.Millisecond
+	maxSpan = 2 * time.Second
+)
+
+// event is one fault of a schedule.
+type event struct {
+	// At is when the fault begins, from the start of the load.
+	At   time.Duration `json:"at"`
+	Kind faultKind     `json:"kind"`
+	// VM is the index of the VM that the fault hits; -1 for the platform.
+	VM int `json:"vm"`
+	// Span is how long the fault lasts.
+	Span time.Duration `json:"span"`
+}
+
+// ofPlatform reports whether the fault hits the platform rather than a VM.
+func (k faultKind) ofPlatform() bool { return k == faultPlatformDown || k == faultPublish }
+
+// newSchedule draws the faults of a seed for a number of VMs. They begin within
+// length. The same arguments give the same schedule.
+func newSchedule(seed uint64, vms int, length time.Duration) []event {
+	random := rand.New(rand.NewPCG(seed, 0))
+	total := 0
+	for _, w := range faultWeights {
+		total += w.weight
+	}
+	var out []event
+	at := quietStart
+	for {
+		at += time.Duration(random.ExpFloat64() * float64(meanGap))
+		if at >= length {
+			return out
+		}
+		e := event{At: at, Kind: drawKind(random.IntN(total)), VM: random.IntN(vms)}
+		e.Span = minSpan + time.Duration(random.Int64N(int64(maxSpan-minSpan)))
+		if e.Kind.ofPlatform() {
+			e.VM = -1
+		}
+		out = append(out, e)
+	}
+}
+
+// drawKind returns the fault for a number below the sum of all weights.
+func drawKind(n int) faultKind {
+	for _, w := range faultWeights {
+		if n < w.weight {
+			return w.kind
+		}
+		n -= w.weight
+	}
+	return faultPublish
+}
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -86,5 +86,15 @@
 	return string(body)
 }
 
+// Exited reports whether the process has exited since it was last started.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
