--- a/soak/callers.go
+++ b/soak/callers.go
@@ -86,16 +86,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	r := result{ID: id, Kind: kind, VM: vm, From: c.run.now()}
-	reused, answered := false, false
+	idle, answered := false, false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:              func(i httptrace.GotConnInfo) { reused = i.Reused },
+		GotConn:              func(i httptrace.GotConnInfo) { idle = i.WasIdle },
 		GotFirstResponseByte: func() { answered = true },
 	})
 	r.Err = c.exchange(ctx, &r)
 	r.To = c.run.now()
 	var op *net.OpError
 	r.Refused = errors.As(r.Err, &op) && op.Op == "dial"
-	r.Raced = r.Err != nil && reused && !answered && r.To-r.From < raceTime
+	r.Raced = r.Err != nil && idle && !answered && r.To-r.From < raceTime
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.results = append(c.results, r)
--- a/soak/main.go
+++ b/soak/main.go
@@ -25,6 +25,12 @@
 	exitError   = 2
 )
 
+// The defaults of the flags nodes and length.
+const (
+	defaultNodes  = 4
+	defaultLength = 12 * time.Second
+)
+
 // maxParallel is the most seeds played at once.
 const maxParallel = 8
 
@@ -41,8 +47,8 @@
 	flags := []cli.Flag{
 		&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`FOLDER` of the programs"},
 		&cli.StringFlag{Name: "out", Value: filepath.Join("out", "soak"), Usage: "`FOLDER` for reports, and for the logs of seeds that broke a rule"},
-		&cli.IntFlag{Name: "nodes", Value: 4, Usage: "`NUMBER` of nodes of each of the three services"},
-		&cli.DurationFlag{Name: "length", Value: 12 * time.Second, Usage: "`TIME` in which faults begin"},
+		&cli.IntFlag{Name: "nodes", Value: defaultNodes, Usage: "`NUMBER` of nodes of each of the three services"},
+		&cli.DurationFlag{Name: "length", Value: defaultLength, Usage: "`TIME` in which faults begin"},
 	}
 	return &cli.Command{
 		Name:   "soak",
