soak: longer runs, and a rule that planned stops cut nothing off

A call that a stop cuts off ends as unknown, which the judge allowed always. Now an unknown outcome or an error counts only if a fault other than a planned stop hit some VM meanwhile (CUT). Runs of 10 to 20 ms were also seldom under way when a fault came: they take 60 to 100 ms now.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -17,6 +17,13 @@
 // targetTime is the target time of all kinds.
 const targetTime = 2 * time.Second
 
+// The mean run times. They are long enough that most faults hit running calls.
+const (
+	sealTime        = 60 * time.Millisecond
+	certificateTime = 60 * time.Millisecond
+	historyTime     = 100 * time.Millisecond
+)
+
 // historyRecord returns the record of kindHistory in a revision.
 func historyRecord(revision int) string {
 	return fleet.FormatRecord(revision, fleet.Kind{
@@ -35,9 +42,9 @@
 	records[kindHistory] = historyRecord(1)
 	return fleet.Plan{
 		Services: []fleet.Service{
-			{Name: "sealing", Locations: places, Slots: 16, ServiceTime: 10 * time.Millisecond, NestedKinds: []string{kindCertificate}},
-			{Name: "certifying", Locations: places, Slots: 16, ServiceTime: 10 * time.Millisecond},
-			{Name: "histories", Locations: places, Slots: 16, ServiceTime: 20 * time.Millisecond},
+			{Name: "sealing", Locations: places, Slots: 32, ServiceTime: sealTime, NestedKinds: []string{kindCertificate}},
+			{Name: "certifying", Locations: places, Slots: 32, ServiceTime: certificateTime},
+			{Name: "histories", Locations: places, Slots: 32, ServiceTime: historyTime},
 		},
 		Records: records,
 	}
@@ -50,19 +57,19 @@
 	// such faults of one VM follow each other.
 	mu sync.Mutex
 
-	// spansMu guards spans, the times at which the node was disturbed.
+	// spansMu guards spans, the times at which the VM was disturbed.
 	spansMu sync.Mutex
 	spans   []span
 }
 
-// span is a time in which a node was disturbed.
+// span is a time in which a VM was disturbed.
 type span struct {
 	kind faultKind
 	// from and to are times since the start of the load; to is 0 until the end.
 	from, to time.Duration
 }
 
-// begin records that a fault of the node begins, and returns a function that
+// begin records that a fault of the VM begins, and returns a function that
 // records its end.
 func (v *vmState) begin(kind faultKind, now func() time.Duration) (end func()) {
 	v.spansMu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -11,8 +11,11 @@
 	// stopTimeout bounds a planned stop of a node.
 	stopTimeout = 10 * time.Second
 	// slowTime is the run time of a slow upstream, and normalTime that of others.
-	slowTime   = "200ms"
-	normalTime = "15ms"
+	slowTime   = "500ms"
+	normalTime = "80ms"
+	// noticeTime is the time within which nodes notice that connections are closed or
+	// silent.
+	noticeTime = time.Second
 )
 
 // apply carries out an event and returns when it is over.
@@ -22,15 +25,21 @@
 		return
 	}
 	v := r.vms[e.VM]
-	switch e.Kind {
-	case faultKill, faultStop, faultPauseNode, faultPauseUpstream:
+	if e.Kind.ofProcess() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
+		defer v.begin(e.Kind, r.now)()
 		r.applyToProcess(v, e)
+		return
+	}
+	defer v.begin(e.Kind, r.now)()
+	switch e.Kind {
 	case faultBreak:
 		r.fleet.Relay(v.VM).CloseConnections()
+		time.Sleep(noticeTime)
 	case faultSilence:
 		r.fleet.Relay(v.VM).Blackhole()
+		time.Sleep(noticeTime)
 	case faultCut:
 		r.fleet.Relay(v.VM).Disable()
 		time.Sleep(e.Span)
@@ -46,7 +55,6 @@
 
 // applyToProcess carries out an event on a process of a VM. The caller holds v.mu.
 func (r *run) applyToProcess(v *vmState, e event) {
-	defer v.begin(e.Kind, r.now)()
 	switch e.Kind {
 	case faultKill:
 		if v.Node.Exited() {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -18,6 +18,9 @@
 	// ruleLost: a request that was accepted got no answer although its node was
 	// neither killed nor paused.
 	ruleLost = "LOST"
+	// ruleCut: a request got no certain outcome although the only faults meanwhile
+	// were planned stops.
+	ruleCut = "CUT"
 	// ruleExit: a node ended by itself, or a planned stop failed.
 	ruleExit = "EXIT"
 	// ruleBack: a node went back to an older revision.
@@ -58,13 +61,24 @@
 	}
 }
 
+// unplanned are the faults that may leave the outcome of a request in doubt.
+var unplanned = []faultKind{faultKill, faultPauseNode, faultPauseUpstream, faultBreak, faultSilence, faultCut, faultSlow}
+
+// meanwhile reports whether one of some faults hit a VM while a request was under
+// way.
+type meanwhile func(...faultKind) bool
+
 // checkResult checks what a caller was told. Runs is how often the request's own
-// work ran, and faults returns whether its node had one of some faults meanwhile.
-func (j *judge) checkResult(r result, runs int, faults func(...faultKind) bool) {
+// work ran; atNode tells of the faults of its node, and anywhere of those of all.
+func (j *judge) checkResult(r result, runs int, atNode, anywhere meanwhile) {
 	if r.Err != nil {
-		j.checkUnanswered(r, faults)
+		j.checkUnanswered(r, atNode)
 		return
 	}
+	uncertain := r.Outcome == "unknown" || r.Outcome == "answered" && r.Status != http.StatusOK
+	if uncertain && !anywhere(unplanned...) {
+		j.add(finding{ruleCut, r.ID, fmt.Sprintf("status %d, %s, from %s to %s", r.Status, r.Outcome, r.From, r.To)})
+	}
 	switch r.Outcome {
 	case "answered":
 		if r.Status != http.StatusOK {
@@ -89,10 +103,10 @@
 // checkUnanswered checks a request without an answer. Nobody can answer for a node
 // that is killed or paused. Nor can a node that stops as planned help that a
 // request is sent on an idle connection just when it closes that.
-func (j *judge) checkUnanswered(r result, faults func(...faultKind) bool) {
+func (j *judge) checkUnanswered(r result, atNode meanwhile) {
 	switch {
-	case faults(faultKill, faultPauseNode):
-	case faults(faultStop) && (r.Refused || r.Raced):
+	case atNode(faultKill, faultPauseNode):
+	case atNode(faultStop) && (r.Refused || r.Raced):
 	default:
 		j.add(finding{ruleLost, r.ID, fmt.Sprintf("no answer from %s to %s: %v", r.From, r.To, r.Err)})
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -27,10 +27,13 @@
 		{name: "answered", result: answered(own), runs: 1},
 		{name: "answered, never ran", result: answered(own), want: ruleUntrue},
 		{name: "answer to another request", result: answered("seal-2"), runs: 1, want: ruleMixed},
-		{name: "answered with an error", result: result{Outcome: "answered", Status: 500}},
+		{name: "answered with an error", result: result{Outcome: "answered", Status: 500}, faults: []faultKind{faultKill}},
+		{name: "answered with an error during a stop", result: result{Outcome: "answered", Status: 500}, faults: []faultKind{faultStop}, want: ruleCut},
 		{name: "not run", result: result{Outcome: "not-run", Status: 503}},
 		{name: "not run, but ran", result: result{Outcome: "not-run", Status: 503}, runs: 1, want: ruleUntrue},
-		{name: "unknown, ran", result: result{Outcome: "unknown", Status: 504}, runs: 1},
+		{name: "unknown, ran", result: result{Outcome: "unknown", Status: 504}, runs: 1, faults: []faultKind{faultPauseNode}},
+		{name: "unknown during a stop", result: result{Outcome: "unknown", Status: 504}, faults: []faultKind{faultStop}, want: ruleCut},
+		{name: "unknown without a fault", result: result{Outcome: "unknown", Status: 504}, want: ruleCut},
 		{name: "no outcome", result: result{Status: 200}, want: ruleLost},
 		{name: "cut off", result: lost(false, false), want: ruleLost},
 		{name: "cut off by a planned stop", result: lost(false, false), faults: []faultKind{faultStop}, want: ruleLost},
@@ -43,9 +46,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var j judge
-			j.checkResult(tt.result, tt.runs, func(kinds ...faultKind) bool {
+			faults := func(kinds ...faultKind) bool {
 				return slices.ContainsFunc(tt.faults, func(k faultKind) bool { return slices.Contains(kinds, k) })
-			})
+			}
+			j.checkResult(tt.result, tt.runs, faults, faults)
 			got := ""
 			if len(j.findings) > 0 {
 				got = j.findings[0].Rule
--- a/soak/run.go
+++ b/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -123,8 +124,11 @@
 	r.judge.checkRuns(kindSeal, runs[kindSeal])
 	r.judge.checkRuns(kindCertificate, runs[kindCertificate])
 	for _, q := range results {
-		r.judge.checkResult(q, runs[q.Kind][q.ID], func(kinds ...faultKind) bool {
-			return r.vms[q.VM].disturbed(q.From, q.To, kinds...)
+		at := func(v *vmState) meanwhile {
+			return func(kinds ...faultKind) bool { return v.disturbed(q.From, q.To, kinds...) }
+		}
+		r.judge.checkResult(q, runs[q.Kind][q.ID], at(r.vms[q.VM]), func(kinds ...faultKind) bool {
+			return slices.ContainsFunc(r.vms, func(v *vmState) bool { return at(v)(kinds...) })
 		})
 	}
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -72,6 +72,11 @@
 // ofPlatform reports whether the fault hits the platform rather than a VM.
 func (k faultKind) ofPlatform() bool { return k == faultPlatformDown || k == faultPublish }
 
+// ofProcess reports whether the fault hits a process of a VM.
+func (k faultKind) ofProcess() bool {
+	return k == faultKill || k == faultStop || k == faultPauseNode || k == faultPauseUpstream
+}
+
 // newSchedule draws the faults of a seed for a number of VMs. They begin within
 // length. The same arguments give the same schedule.
 func newSchedule(seed uint64, vms int, length time.Duration) []event {
