depot, soak: a node that starts leaves calls to others until it is ready

A node serves its peers from its start, but the nested calls of its upstream only once it has its records; with the platform down that took 2.8 s. Runs with nested calls hung for as long, and their run times then made the node refuse everybody.

Ruled out: the stop itself (it ended within 0.35 s, nothing was in flight), a silent relay.

Change: until it is ready the owner refuses calls as not run (reason starting), which is no try, and reports that it rejects all classes, so that entries only probe it.

TestReplacedNode and the roster of the test adapter now make the node ready, as a source does.

soak: every third seed has planned faults only, every third faults of connections only, since with all of them at once nearly every doubt is excused.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -177,7 +177,9 @@
 	return a, vm
 }
 
+// setRoster makes the node ready, as a source publishes routes and rosters together.
 func (a *fakeAdapter) setRoster(vms ...record.VM) {
+	a.node.ready.Store(true)
 	a.node.SetRosters([]*record.Roster{record.NewRoster("desk", vms)})
 }
 
@@ -306,6 +308,7 @@
 func TestReplacedNode(t *testing.T) {
 	a, vm := startFakeAdapter(t, "u-1", "")
 	entry, _ := startFakeAdapter(t, "u-2", "")
+	a.setRoster(vm)
 	renamed := record.NewVM("u-9", "kutch", "kutch-a", vm.Address(), record.StateLive).WithUpstream("127.0.9.1:1", 8)
 	a.run = func(_ context.Context, c *portage.Call) RunResult {
 		return RunResult{Outcome: portage.OutcomeAnswered, Reached: true, Status: http.StatusOK, Body: []byte(c.Request)}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -115,7 +115,7 @@
 	switch reason {
 	case reasonExpired, reasonBadTicket, reasonNoTriesLeft:
 		return actionReturn
-	case reasonBusy, reasonLeaving, reasonMemory:
+	case reasonBusy, reasonLeaving, reasonStarting, reasonMemory:
 		return actionFailover
 	default:
 		return actionRetry
--- a/depot/node.go
+++ b/depot/node.go
@@ -164,6 +164,7 @@
 		metrics:      n.metrics,
 		retryLimiter: s.retries.newLimiter(),
 		memory:       n.bodyMemory,
+		ready:        &n.ready,
 	}
 	n.entry = &entry{
 		clock: n.clock,
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -43,6 +43,9 @@
 	leaving      atomic.Bool
 	// upstreamClosed is set while the upstream takes no new work.
 	upstreamClosed atomic.Bool
+	// ready is set once the node serves the nested calls of the upstream. A run that
+	// makes one before would wait for it.
+	ready *atomic.Bool
 	// memory is that for the bodies of the calls that are queued or running.
 	memory *ledger.Bytes
 	// inFlight counts these calls.
@@ -73,7 +76,9 @@
 	out := *a
 	out.Request = c.Request
 	now := o.clock.Now()
-	out.Level = uint8(o.controller.Level(now))
+	if o.ready.Load() {
+		out.Level = uint8(o.controller.Level(now))
+	}
 	class, _ := o.effectiveClass(c)
 	estimate := o.controller.Estimate(now, class, c.Kind)
 	out.WaitMS, out.RunMS = int64(estimate.Wait), int64(estimate.MeanRunTime)
@@ -162,6 +167,9 @@
 	if o.leaving.Load() || o.upstreamClosed.Load() {
 		return o.reject(c, reasonLeaving, deadline)
 	}
+	if !o.ready.Load() {
+		return o.reject(c, reasonStarting, deadline)
+	}
 	if !o.memory.Reserve(len(c.Body)) {
 		return o.reject(c, reasonMemory, deadline)
 	}
--- a/depot/problem.go
+++ b/depot/problem.go
@@ -23,6 +23,7 @@
 	reasonNoTriesLeft        = "no-tries-left"
 	reasonExpired            = "expired"
 	reasonLeaving            = "leaving"
+	reasonStarting           = "starting"
 	reasonUnreachable        = "unreachable"
 	reasonNoVM               = "no-vm"
 	reasonRefused            = "refused"
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -19,7 +19,7 @@
 	// neither killed nor paused.
 	ruleLost = "LOST"
 	// ruleCut: a request got no certain outcome although the only faults meanwhile
-	// were planned stops.
+	// were planned stops and faults of connections.
 	ruleCut = "CUT"
 	// ruleExit: a node ended by itself, or a planned stop failed.
 	ruleExit = "EXIT"
@@ -61,8 +61,16 @@
 	}
 }
 
-// unplanned are the faults that may leave the outcome of a request in doubt.
-var unplanned = []faultKind{faultKill, faultPauseNode, faultPauseUpstream, faultBreak, faultSilence, faultCut, faultSlow}
+// doubtful returns the faults that may leave the outcome of a request in doubt. Of
+// those of connections only idempotent work suffers, since another run of it counts
+// as a retry, whose number is limited: the outcome of other work is asked for.
+func doubtful(kind string) []faultKind {
+	faults := []faultKind{faultKill, faultPauseNode, faultPauseUpstream, faultCut, faultSlow}
+	if kind == kindHistory {
+		faults = append(faults, faultBreak, faultSilence)
+	}
+	return faults
+}
 
 // meanwhile reports whether one of some faults hit a VM while a request was under
 // way.
@@ -76,7 +84,7 @@
 		return
 	}
 	uncertain := r.Outcome == "unknown" || r.Outcome == "answered" && r.Status != http.StatusOK
-	if uncertain && !anywhere(unplanned...) {
+	if uncertain && !anywhere(doubtful(r.Kind)...) {
 		j.add(finding{ruleCut, r.ID, fmt.Sprintf("status %d, %s, from %s to %s", r.Status, r.Outcome, r.From, r.To)})
 	}
 	switch r.Outcome {
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -31,11 +31,21 @@
 	faultPublish faultKind = "publish"
 )
 
-// faultWeights hold how often each fault is drawn.
-var faultWeights = []struct {
+// weightedFault is a fault with how often it is drawn.
+type weightedFault struct {
 	kind   faultKind
 	weight int
-}{
+}
+
+// plannedFaults are what operators do, and linkFaults add faults of connections
+// between nodes. All requests must get a certain outcome with these.
+var (
+	plannedFaults = []weightedFault{{faultStop, 4}, {faultPlatformDown, 1}, {faultPublish, 3}}
+	linkFaults    = []weightedFault{{faultStop, 4}, {faultBreak, 4}, {faultSilence, 3}, {faultPublish, 3}}
+)
+
+// allFaults are all faults.
+var allFaults = []weightedFault{
 	{faultKill, 3},
 	{faultStop, 4},
 	{faultPauseNode, 3},
@@ -81,9 +91,10 @@
 // length. The same arguments give the same schedule.
 func newSchedule(seed uint64, vms int, length time.Duration) []event {
 	random := rand.New(rand.NewPCG(seed, 0))
+	faults := faultsOf(seed)
 	total := 0
-	for _, w := range faultWeights {
-		total += w.weight
+	for _, f := range faults {
+		total += f.weight
 	}
 	var out []event
 	at := quietStart
@@ -92,7 +103,7 @@
 		if at >= length {
 			return out
 		}
-		e := event{At: at, Kind: drawKind(random.IntN(total)), VM: random.IntN(vms)}
+		e := event{At: at, Kind: drawKind(faults, random.IntN(total)), VM: random.IntN(vms)}
 		e.Span = minSpan + time.Duration(random.Int64N(int64(maxSpan-minSpan)))
 		if e.Kind.ofPlatform() {
 			e.VM = -1
@@ -101,13 +112,25 @@
 	}
 }
 
+// faultsOf returns the faults that a seed draws from.
+func faultsOf(seed uint64) []weightedFault {
+	switch seed % 3 {
+	case 0:
+		return plannedFaults
+	case 1:
+		return linkFaults
+	default:
+		return allFaults
+	}
+}
+
 // drawKind returns the fault for a number below the sum of all weights.
-func drawKind(n int) faultKind {
-	for _, w := range faultWeights {
-		if n < w.weight {
-			return w.kind
+func drawKind(faults []weightedFault, n int) faultKind {
+	for _, f := range faults {
+		if n < f.weight {
+			return f.kind
 		}
-		n -= w.weight
+		n -= f.weight
 	}
 	return faultPublish
 }
