soak: silent idle connections and stopped owners leave an outcome in doubt

Traced by schedules and logs: a connection that went silent while it was idle was used 1.4 s later, and the retry of idempotent work that followed was beyond the limit on retries (no-tries-left); and a call of non-idempotent work was on a silent connection to a node that then stopped as planned, whose outcome nobody can know. Both are allowed; silence has no end for the judge now, and silence with a planned stop excuses doubt about work that is not idempotent. Either alone does not.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,8 +13,7 @@
 	// slowTime is the run time of a slow upstream, and normalTime that of others.
 	slowTime   = "500ms"
 	normalTime = "80ms"
-	// noticeTime is the time within which nodes notice that connections are closed or
-	// silent.
+	// noticeTime is the time within which nodes notice that connections are closed.
 	noticeTime = time.Second
 )
 
@@ -32,14 +31,17 @@
 		r.applyToProcess(v, e)
 		return
 	}
-	defer v.begin(e.Kind, r.now)()
+	end := v.begin(e.Kind, r.now)
+	if e.Kind == faultSilence {
+		// It has no end: an idle connection is noticed to be silent when it is used.
+		r.fleet.Relay(v.VM).Blackhole()
+		return
+	}
+	defer end()
 	switch e.Kind {
 	case faultBreak:
 		r.fleet.Relay(v.VM).CloseConnections()
 		time.Sleep(noticeTime)
-	case faultSilence:
-		r.fleet.Relay(v.VM).Blackhole()
-		time.Sleep(noticeTime)
 	case faultCut:
 		r.fleet.Relay(v.VM).Disable()
 		time.Sleep(e.Span)
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -35,6 +35,7 @@
 		{name: "unknown during a stop", result: result{Outcome: "unknown", Status: 504}, faults: []faultKind{faultStop}, want: ruleCut},
 		{name: "idempotent, unknown after a break", result: result{Kind: kindHistory, Outcome: "unknown"}, faults: []faultKind{faultBreak}},
 		{name: "not idempotent, unknown after a break", result: result{Kind: kindSeal, Outcome: "unknown"}, faults: []faultKind{faultBreak}, want: ruleCut},
+		{name: "not idempotent, unknown after a break and a stop", result: result{Kind: kindSeal, Outcome: "unknown"}, faults: []faultKind{faultBreak, faultStop}},
 		{name: "unknown without a fault", result: result{Outcome: "unknown", Status: 504}, want: ruleCut},
 		{name: "no outcome", result: result{Status: 200}, want: ruleLost},
 		{name: "cut off", result: lost(false, false), want: ruleLost},
