--- a/landing/server_test.go
+++ b/landing/server_test.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// TestBodyIsAlone sends a safe request with a body behind another one. It must wait,
+// as its body is not read before its turn.
+func TestBodyIsAlone(t *testing.T) {
+	var running, most atomic.Int64
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if n := running.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		defer running.Add(-1)
+		echo(w, r)
+	})
+	c := dial(t, address)
+	c.send(get("id=1&delay=100") + "GET /?id=2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	c.expect("1:", "2:body")
+	if got := most.Load(); got != 1 {
+		t.Errorf("got %d requests at once, want one after the other", got)
+	}
+}
+
 // TestNoReadAhead sends a long body behind a request that takes its time. No more
 // of it than the buffers hold may be taken before the first request is answered.
 func TestNoReadAhead(t *testing.T) {
