--- a/landing/server_test.go
+++ b/landing/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,6 +35,32 @@
 	_, _ = fmt.Fprintf(w, "%s:%s", r.URL.Query().Get("id"), body)
 }
 
+// concurrency counts what runs at the same time.
+type concurrency struct {
+	mu        sync.Mutex
+	now, most int
+}
+
+// begin counts one more until the returned function is called.
+func (c *concurrency) begin() (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now++
+	c.most = max(c.most, c.now)
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.now--
+	}
+}
+
+// peak returns the highest count so far.
+func (c *concurrency) peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.most
+}
+
 func concurrentGets(r *http.Request) bool { return r.Method == http.MethodGet }
 
 // startServer serves a handler until the test ends. GET requests may run
@@ -142,18 +169,15 @@
 // a body, wait for the responses to the earlier ones, and that no part of their
 // body is read before.
 func TestAloneRequests(t *testing.T) {
-	var running, most atomic.Int64
+	var running concurrency
 	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		if n := running.Add(1); n > most.Load() {
-			most.Store(n)
-		}
-		defer running.Add(-1)
+		defer running.begin()()
 		echo(w, r)
 	})
 	c := dial(t, address)
 	c.send(get("id=1&delay=100") + post("id=2&delay=100", "body") + "PUT /?id=3 HTTP/1.1\r\nHost: h\r\n\r\n" + get("id=4"))
 	c.expect("1:", "2:body", "3:", "4:")
-	if got := most.Load(); got > 2 {
+	if got := running.peak(); got > 2 {
 		t.Errorf("got %d requests at once, want at most the last two", got)
 	}
 }
@@ -161,18 +185,15 @@
 // TestBodyIsAlone sends a safe request with a body behind another one. It must wait,
 // as its body is not read before its turn.
 func TestBodyIsAlone(t *testing.T) {
-	var running, most atomic.Int64
+	var running concurrency
 	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		if n := running.Add(1); n > most.Load() {
-			most.Store(n)
-		}
-		defer running.Add(-1)
+		defer running.begin()()
 		echo(w, r)
 	})
 	c := dial(t, address)
-	c.send(get("id=1&delay=100") + "GET /?id=2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	c.send(get("id=1&delay=100") + "GET /?id=2&delay=100 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
 	c.expect("1:", "2:body")
-	if got := most.Load(); got != 1 {
+	if got := running.peak(); got != 1 {
 		t.Errorf("got %d requests at once, want one after the other", got)
 	}
 }
