--- a/soak/judge.go
+++ b/soak/judge.go
@@ -119,7 +119,7 @@
 	case atNode(faultKill, faultPauseNode):
 	case atNode(faultStop) && (r.Refused || r.Raced) && runs == 0:
 	default:
-		j.add(finding{ruleLost, r.ID, fmt.Sprintf("no answer from %s to %s: %v", r.From, r.To, r.Err)})
+		j.add(finding{ruleLost, r.ID, fmt.Sprintf("no answer from %s to %s, ran %d times: %v", r.From, r.To, runs, r.Err)})
 	}
 }
 
