landing: a planned stop answers what has arrived, read or not

The busier the machine, the later the read. Ruled out: a race with the end of an idle connection alone; in TestShutdownAnswersArrived all requests are written before the stop begins. Change: such a connection is read once more, for 50 ms at most, before it is closed.

--- a/landing/conn.go
+++ b/landing/conn.go
@@ -21,6 +21,9 @@
 	// before a connection is closed. Closing it earlier could destroy a response
 	// that the caller has not read yet.
 	lingerTime = 500 * time.Millisecond
+	// lastReadTime is how long a connection without a request is read once more
+	// before it is closed. A request that has arrived by then is taken.
+	lastReadTime = 50 * time.Millisecond
 )
 
 // conn is one connection of a caller. One goroutine reads its requests; each
@@ -86,7 +89,7 @@
 // no further request is taken.
 func (c *conn) awaitFirstByte() bool {
 	c.limited.Allow(-1)
-	return c.wait(func() state {
+	ready := c.wait(func() state {
 		idleUntil := c.idleSince.Add(c.server.settings.limits().IdleTime)
 		switch {
 		case c.closing, c.left:
@@ -99,6 +102,31 @@
 		}
 		return stateWaiting
 	})
+	return ready || c.readOnce()
+}
+
+// readOnce reports whether a request has arrived on a connection that is to be
+// closed for want of one. Its bytes may still be unread, since a change ends the
+// read that waits for them.
+func (c *conn) readOnce() bool {
+	if c.isOver() {
+		return false
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lastReadTime))
+	if _, err := c.reader.Peek(1); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	return true
+}
+
+// isOver reports whether no further request is taken, not even one that has arrived.
+func (c *conn) isOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing || c.left
 }
 
 // readHead reads the head of a request whose first byte has arrived.
--- a/landing/server_test.go
+++ b/landing/server_test.go
@@ -352,6 +352,34 @@
 	}
 }
 
+// TestShutdownAnswersArrived sends a request on each of many idle connections and
+// then stops the server at once. What had arrived must be answered, however late the
+// server comes to read it.
+func TestShutdownAnswersArrived(t *testing.T) {
+	const rounds, conns = 30, 20
+	for range rounds {
+		s, address := startServer(t, echo)
+		clients := make([]*client, conns)
+		for i := range clients {
+			clients[i] = dial(t, address)
+			clients[i].send(get("id=0"))
+			clients[i].expect("0:")
+		}
+		for _, c := range clients {
+			c.send(get("id=1"))
+		}
+		done := make(chan error, 1)
+		go func() { done <- s.Shutdown(t.Context()) }()
+		for _, c := range clients {
+			c.expect("1:")
+			_ = c.conn.Close()
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestShutdownTimeout ends a shutdown before the requests are answered.
 func TestShutdownTimeout(t *testing.T) {
 	s, address := startServer(t, echo)
