--- a/depot/replicator.go
+++ b/depot/replicator.go
@@ -139,12 +139,23 @@
 			r.log.Warn().Str("event", "bootstrap").Int("failures", failures).Err(err).Send()
 		}
 		if r.store.Snapshot().HasPolicies() {
+			r.catchUp(ctx)
 			return
 		}
 		clock.Sleep(ctx, r.schedule.RetryDelay(failures).Duration())
 	}
 }
 
+// catchUp exchanges documents with all successors in the ring. The peer that
+// provided the first documents may be behind.
+func (r *replicator) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	for _, m := range r.currentFleet().Successors() {
+		r.exchangeWith(ctx, m)
+	}
+}
+
 func (r *replicator) bootstrapOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
--- a/depot/replicator_test.go
+++ b/depot/replicator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,3 +119,15 @@
 		})
 	}
 }
+
+// TestCatchUp lets a node that has an older record than its peer catch up, as at
+// the end of its start.
+func TestCatchUp(t *testing.T) {
+	cluster := startCluster(t, echoUpstream)
+	newer := strings.Replace(readRecord, "revision: 1", "revision: 9", 1)
+	cluster.entry.replicator.merge("test", record.RawDocument{Key: "records/read", Body: []byte(newer)})
+	cluster.owner.replicator.catchUp(t.Context())
+	if got := cluster.owner.Revision("read"); got != 9 {
+		t.Errorf("got revision %d, want 9", got)
+	}
+}
