--- /dev/null
+++ b/review/standin/case_drain.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds of the sheet "Unified Kiln Batch Ledger Mesh".
+const drainS = 2500 * time.Millisecond
+
+const (
+	sealHost = "seal.example"
+	sealPath = "/seal/"
+)
+
+// sealRoute is the route of burn-seal, with the times of the sheet.
+func sealRoute() route {
+	return route{
+		Name: "burn-seal", Host: sealHost, PathPrefix: sealPath, Kind: "unsafe", TimeoutS: 5, TargetLatencyS: 4,
+		Priority: 2, Service: "burn-register", MaxAttempts: 3,
+	}
+}
+
+// around returns a function that returns spans from 0.7 to 1.3 times a mean.
+func around(mean time.Duration) func() time.Duration {
+	return func() time.Duration { return time.Duration((0.7 + 0.6*rand.Float64()) * float64(mean)) }
+}
+
+// caseDrain drains a server while the nodes of its service hold a queue.
+func caseDrain(w *world) error {
+	const (
+		slots = 19
+		work  = 290 * time.Millisecond
+		// base is the rate of the sheet, below the 103 requests a second that the two
+		// servers can run. The burst is the greatest one of the site file.
+		base       = 64.5
+		burst      = 2.6
+		burstBegin = 3 * time.Second
+		burstEnd   = burstBegin + 6800*time.Millisecond
+		drainAt    = burstEnd - 500*time.Millisecond
+	)
+	w.store.putConfiguration("0000000c", []route{sealRoute()}, "burn-register", "history-desk")
+	for i, service := range []string{"burn-register", "burn-register", "history-desk", "history-desk"} {
+		ip := machine(i + 1)
+		s := &server{id: fmt.Sprintf("i-%04x", 0xa001+i), service: service, zone: "bhuj", slots: slots, work: around(work)}
+		if i == 0 {
+			// Servers of one service differ in speed.
+			s.work = around(work * 3 / 2)
+		}
+		if err := w.addServer(s, ip); err != nil {
+			return err
+		}
+		if _, err := w.addNode(fmt.Sprintf("sidecar-bhuj-%d", i+1), ip, service, "bhuj"); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	leaving := w.servers[0]
+
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	told := make(map[string]int)
+	began := time.Now()
+	stop := began.Add(16 * time.Second)
+	var acknowledged time.Time
+	drained := false
+	for next := began; next.Before(stop); {
+		time.Sleep(time.Until(next))
+		since := time.Since(began)
+		rate := base
+		if w.trouble && since > burstBegin && since < burstEnd {
+			rate = base * burst
+		}
+		if since > drainAt && !drained {
+			drained = true
+			acknowledged = leaving.drain()
+			// It goes on serving for drainS and a little longer.
+			time.AfterFunc(drainS+500*time.Millisecond, leaving.end)
+		}
+		next = next.Add(time.Duration(float64(time.Second) / rate))
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c := call{id: newID(), method: http.MethodPost, host: sealHost, path: sealPath + "x", body: "a sealed burn", deadline: 5 * time.Second}
+			a := send(machine(3+rand.IntN(2)), c)
+			w.log.add("client got %d for %s after %d ms (%v)", a.status, c.id, a.took.Milliseconds(), a.err)
+			mu.Lock()
+			told[fmt.Sprint(a.status)]++
+			mu.Unlock()
+		}()
+	}
+	clients.Wait()
+
+	late, lost := 0, 0
+	var latest time.Duration
+	leaving.mu.Lock()
+	for _, a := range leaving.arrivals {
+		if after := a.at.Sub(acknowledged); after > drainS {
+			late++
+			latest = max(latest, after)
+			w.log.add("late: %s reached %s %.3f s after the acknowledgement", a.id, leaving.id, after.Seconds())
+		}
+	}
+	leaving.mu.Unlock()
+	lost = told["502"] + told["504"] + told["0"]
+	w.log.say("clients were told: %v; without an answer of a server: %d", told, lost)
+	w.log.say("DRAIN: %d requests reached %s later than %.1f s after its leaving was acknowledged, the last one after %.2f s", late, leaving.id, drainS.Seconds(), latest.Seconds())
+	if late > 0 {
+		return errBroken
+	}
+	return nil
+}
