--- /dev/null
+++ b/review/standin/case_born.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// caseBorn steps the time of day of a machine back while its server starts again
+// under the id that it had, and drains that server later.
+func caseBorn(w *world) error {
+	const (
+		every   = 15500 * time.Microsecond
+		step    = 2 * time.Second
+		drainAt = 14 * time.Second
+		length  = 24 * time.Second
+	)
+	w.store.putConfiguration("0000000c", []route{sealRoute()}, "burn-register", "history-desk")
+	for i, service := range []string{"burn-register", "burn-register", "history-desk", "history-desk"} {
+		s := &server{id: fmt.Sprintf("i-%04x", 0xf001+i), service: service, zone: "bhuj", slots: 72, work: around(290 * time.Millisecond)}
+		if i == 0 && w.trouble {
+			// The time of day of its machine is ahead.
+			s.ahead = step
+		}
+		if err := w.addServer(s, machine(i+1)); err != nil {
+			return err
+		}
+		if _, err := w.addNode(fmt.Sprintf("sidecar-bhuj-%d", i+1), machine(i+1), service, "bhuj"); err != nil {
+			return err
+		}
+	}
+	// The server crashes after a second and starts again under its id. Meanwhile the
+	// time of day has become true again.
+	leaving := w.servers[0]
+	leaving.end()
+	time.Sleep(500 * time.Millisecond)
+	leaving.ahead = 0
+	if err := leaving.start(); err != nil {
+		return err
+	}
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	told := make(map[string]int)
+	began := time.Now()
+	var acknowledged time.Time
+	for next := began; time.Since(began) < length; next = next.Add(every) {
+		time.Sleep(time.Until(next))
+		if acknowledged.IsZero() && time.Since(began) > drainAt {
+			acknowledged = leaving.drain()
+			time.AfterFunc(drainS+5*time.Second, func() {
+				leaving.end()
+				w.store.remove("servers/" + leaving.id)
+			})
+		}
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c := call{id: newID(), method: http.MethodPost, host: sealHost, path: sealPath + "x", body: "a sealed burn", deadline: 5 * time.Second}
+			a := send(machine(3+rand.IntN(2)), c)
+			w.log.add("client got %d for %s after %d ms (%v)", a.status, c.id, a.took.Milliseconds(), a.err)
+			mu.Lock()
+			told[fmt.Sprint(a.status)]++
+			mu.Unlock()
+		}()
+	}
+	clients.Wait()
+	late, latest := leaving.lateArrivals(acknowledged.Add(drainS))
+	w.log.say("clients were told: %v", told)
+	w.log.say("DRAIN: %d requests reached %s later than %.1f s after its leaving was acknowledged, the last one %.2f s after that", late, leaving.id, drainS.Seconds(), latest.Seconds())
+	if late > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/review/standin/case_drain.go
+++ b/review/standin/case_drain.go
@@ -94,20 +94,10 @@
 	}
 	clients.Wait()
 
-	late, lost := 0, 0
-	var latest time.Duration
-	leaving.mu.Lock()
-	for _, a := range leaving.arrivals {
-		if after := a.at.Sub(acknowledged); after > drainS {
-			late++
-			latest = max(latest, after)
-			w.log.add("late: %s reached %s %.3f s after the acknowledgement", a.id, leaving.id, after.Seconds())
-		}
-	}
-	leaving.mu.Unlock()
-	lost = told["502"] + told["504"] + told["0"]
+	late, latest := leaving.lateArrivals(acknowledged.Add(drainS))
+	lost := told["502"] + told["504"] + told["0"]
 	w.log.say("clients were told: %v; without an answer of a server: %d", told, lost)
-	w.log.say("DRAIN: %d requests reached %s later than %.1f s after its leaving was acknowledged, the last one after %.2f s", late, leaving.id, drainS.Seconds(), latest.Seconds())
+	w.log.say("DRAIN: %d requests reached %s later than %.1f s after its leaving was acknowledged, the last one %.2f s after that", late, leaving.id, drainS.Seconds(), latest.Seconds())
 	if late > 0 {
 		return errBroken
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 }
 
 var cases = map[string]func(*world) error{
+	"born":      caseBorn,
 	"drain":     caseDrain,
 	"duplicate": caseDuplicate,
 	"reuse":     caseReuse,
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -28,6 +28,8 @@
 	// extra, if set, returns the share of the answers of which a second copy comes
 	// late, where the next response on the connection is expected.
 	extra func() float64
+	// ahead is how far the time of day of the machine is ahead.
+	ahead time.Duration
 	store *store
 	log   *journal
 
@@ -40,11 +42,9 @@
 	running  int
 	waiting  []chan struct{}
 	ended    bool
-	// runs counts the runs by request id, and lastArrival holds the time of the
-	// latest arrival.
-	runs        map[string]int
-	lastArrival time.Time
-	arrivals    []arrival
+	// runs counts the runs by request id.
+	runs     map[string]int
+	arrivals []arrival
 }
 
 // arrival is a request that reached a server and was not answered 421.
@@ -61,20 +61,22 @@
 	}
 	s.mu.Lock()
 	s.listener, s.conns, s.state, s.runs = l, make(map[net.Conn]bool), "ready", make(map[string]int)
-	s.born = time.Now().UnixMilli()
+	s.born = time.Now().Add(s.ahead).UnixMilli()
+	s.sequence, s.ended, s.running, s.waiting = 0, false, 0, nil
 	s.mu.Unlock()
 	go s.accept(l)
 	s.beat()
-	go s.beats()
+	go s.beats(l)
 	s.log.add("server %s (%s) starts at %s", s.id, s.service, s.address)
 	return nil
 }
 
-func (s *server) beats() {
+// beats writes the entry at intervals while the process that has the listener runs.
+func (s *server) beats(l net.Listener) {
 	for {
 		time.Sleep(heartbeat)
 		s.mu.Lock()
-		ended := s.ended
+		ended := s.ended || s.listener != l
 		s.mu.Unlock()
 		if ended {
 			return
@@ -283,6 +285,21 @@
 	return out + "\r\n" + body
 }
 
+// lateArrivals returns how many requests arrived after a time, and how much later
+// the last one of them did.
+func (s *server) lateArrivals(after time.Time) (late int, latest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if d := a.at.Sub(after); d > 0 {
+			late++
+			latest = max(latest, d)
+			s.log.add("late: %s reached %s %.3f s too late", a.id, s.id, d.Seconds())
+		}
+	}
+	return late, latest
+}
+
 // runsOf returns how often a request ran.
 func (s *server) runsOf(id string) int {
 	s.mu.Lock()
