--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 
 var cases = map[string]func(*world) error{
 	"born":      caseBorn,
+	"gone":      caseGone,
 	"drain":     caseDrain,
 	"duplicate": caseDuplicate,
 	"reuse":     caseReuse,
