--- a/review/standin/case_born.go
+++ b/review/standin/case_born.go
@@ -18,24 +18,39 @@
 		length  = 24 * time.Second
 	)
 	w.store.putConfiguration("0000000c", []route{sealRoute()}, "burn-register", "history-desk")
-	for i, service := range []string{"burn-register", "burn-register", "history-desk", "history-desk"} {
+	var leaving *server
+	services := []string{"burn-register", "burn-register", "history-desk", "history-desk"}
+	for i, service := range services {
+		if _, err := w.addNodeUnready(fmt.Sprintf("sidecar-bhuj-%d", i+1), machine(i+1), service, "bhuj"); err != nil {
+			return err
+		}
+	}
+	for i, service := range services {
 		s := &server{id: fmt.Sprintf("i-%04x", 0xf001+i), service: service, zone: "bhuj", slots: 72, work: around(290 * time.Millisecond)}
-		if i == 0 && w.trouble {
-			// The time of day of its machine is ahead.
-			s.ahead = step
+		if i == 0 {
+			leaving = s
+			continue
 		}
 		if err := w.addServer(s, machine(i+1)); err != nil {
 			return err
 		}
-		if _, err := w.addNode(fmt.Sprintf("sidecar-bhuj-%d", i+1), machine(i+1), service, "bhuj"); err != nil {
+	}
+	for _, n := range w.nodes {
+		if err := n.awaitReady(); err != nil {
 			return err
 		}
 	}
-	// The server crashes after a second and starts again under its id. Meanwhile the
-	// time of day has become true again.
-	leaving := w.servers[0]
+	// The first server starts while the time of day of its machine is ahead. It crashes
+	// soon and starts again under its id, after the time of day has become true again.
+	if w.trouble {
+		leaving.ahead = step
+	}
+	if err := w.addServer(leaving, machine(1)); err != nil {
+		return err
+	}
+	time.Sleep(1200 * time.Millisecond)
 	leaving.end()
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(400 * time.Millisecond)
 	leaving.ahead = 0
 	if err := leaving.start(); err != nil {
 		return err
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -121,8 +121,17 @@
 	return s.start()
 }
 
-// addNode starts a node on a machine.
+// addNode starts a node on a machine and waits until it is ready.
 func (w *world) addNode(name, ip, service, zone string) (*node, error) {
+	n, err := w.addNodeUnready(name, ip, service, zone)
+	if err != nil {
+		return nil, err
+	}
+	return n, n.awaitReady()
+}
+
+// addNodeUnready starts a node on a machine.
+func (w *world) addNodeUnready(name, ip, service, zone string) (*node, error) {
 	n := &node{name: name, ip: ip, service: service, zone: zone, dir: w.dir, program: w.program, store: w.store.address, log: w.log}
 	w.nodes = append(w.nodes, n)
 	return n, n.start()
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -99,7 +99,7 @@
 
 func (n *node) file() string { return filepath.Join(n.dir, n.name+".yaml") }
 
-// start starts the process and waits until it is ready.
+// start starts the process.
 func (n *node) start() error {
 	if err := os.WriteFile(n.file(), []byte(n.settings()), 0o600); err != nil {
 		return err
@@ -120,9 +120,10 @@
 		close(done)
 	}(n.exited, n.cmd)
 	n.log.add("node %s (%s) starts at %s", n.name, n.service, n.ip)
-	return n.awaitReady()
+	return nil
 }
 
+// awaitReady waits until the node says that it is ready.
 func (n *node) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
 	for range 100 {
