--- a/review/standin/case_reuse.go
+++ b/review/standin/case_reuse.go
@@ -52,8 +52,8 @@
 	var mu sync.Mutex
 	var replaced []*server
 	if w.trouble {
-		for i := range 4 {
-			time.AfterFunc(time.Duration(6+13*i)*time.Second, func() {
+		for i := range 5 {
+			time.AfterFunc(time.Duration(6+11*i)*time.Second, func() {
 				s, err := w.replace(i, fmt.Sprintf("i-%04x", 0xe001+i), other)
 				mu.Lock()
 				defer mu.Unlock()
@@ -73,7 +73,7 @@
 		go func() {
 			defer clients.Done()
 			c := call{id: newID(), method: http.MethodGet, host: host, path: "/batch/1", deadline: 5 * time.Second}
-			a := send(machine(5+rand.IntN(4)), c)
+			a := send(machine(6+rand.IntN(3)), c)
 			w.log.add("client got %d for %s after %d ms (%v), signed %s", a.status, c.id, a.took.Milliseconds(), a.err, a.signature)
 			mu.Lock()
 			told[a.status]++
