--- a/review/standin/case_drain.go
+++ b/review/standin/case_drain.go
@@ -76,6 +76,9 @@
 		}
 		if since > drainAt && !drained {
 			drained = true
+			// It reports that just after a heartbeat of another server.
+			w.servers[1].beat()
+			time.Sleep(10 * time.Millisecond)
 			acknowledged = leaving.drain()
 			// It goes on serving for drainS and a little longer.
 			time.AfterFunc(drainS+500*time.Millisecond, leaving.end)
