depot, platform: logs tell on which connection a call was sent

A call that its server rejects is sent again within milliseconds, and no line told of these attempts: a server that refuses and one whose answer is taken for another's looked alike. `sent-again` tells of each of them, and `ran` and `sent-again` name the connection, how many requests it has carried and how many answers to other requests were read first.

--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -79,12 +79,17 @@
 	} else {
 		o.retryLimiter.RecordFirst(o.clock.Now())
 	}
-	for pause := upstreamRetryDelay; ; pause = min(2*pause, maxUpstreamRetryDelay) {
-		res := o.upstream.Run(ctx, c, id, deadline-o.clock.Now())
-		if !res.Retryable || ctx.Err() != nil || o.clock.Now()+maxUpstreamRetryDelay >= deadline || !o.retryLimiter.AllowRetry(o.clock.Now()) {
+	pause := upstreamRetryDelay
+	for attempt := 1; ; attempt++ {
+		began := o.clock.Now()
+		res := o.upstream.Run(ctx, c, id, deadline-began)
+		ended := o.clock.Now()
+		if !res.Retryable || ctx.Err() != nil || ended+maxUpstreamRetryDelay >= deadline || !o.retryLimiter.AllowRetry(ended) {
 			return res
 		}
+		o.decisions.sentAgain(c, res, attempt, ended-began, pause)
 		clock.Sleep(ctx, pause.Duration())
+		pause = min(2*pause, maxUpstreamRetryDelay)
 	}
 }
 
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -42,6 +42,19 @@
 	Status    int
 	Header    []portage.Field
 	Body      []byte
+	// Conn tells on which connection the call was sent.
+	Conn ConnUse
+}
+
+// ConnUse tells on which connection to the upstream a call was sent. The zero
+// value means that it is not known.
+type ConnUse struct {
+	// Number identifies the connection among those of the process.
+	Number uint64
+	// Requests is the number of requests sent on it so far, this one included.
+	Requests int
+	// Skipped is the number of answers to other requests that were read first.
+	Skipped int
 }
 
 // httpUpstream is an Upstream that uses the product's own HTTP interface.
