depot, standin: an upstream's response must name its run on a connection in use

An upstream repeats `Cuminhollow-Run`, which differs for each run, in its responses. One that belongs to another run leaves the outcome unknown and closes the idle connections; an upstream that does not repeat the header gets a new connection for each call, since nothing else tells responses apart. The stand-in repeats it.

--- a/depot/header.go
+++ b/depot/header.go
@@ -18,8 +18,8 @@
 	HeaderTicket = "Cuminhollow-Ticket"
 	// HeaderRequest identifies the outside caller's request.
 	HeaderRequest = "Cuminhollow-Request"
-	// HeaderRun identifies a run on the upstream. The upstream copies it to the
-	// nested calls that it makes for the run.
+	// HeaderRun identifies a run on the upstream. The upstream copies it to its
+	// response and to the nested calls that it makes for the run.
 	HeaderRun = "Cuminhollow-Run"
 	// HeaderCaller names the caller where the settings allow it.
 	HeaderCaller = "Cuminhollow-Caller"
--- a/depot/node_test.go
+++ b/depot/node_test.go
@@ -25,6 +25,7 @@
 
 var echoUpstream = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 	body, _ := io.ReadAll(q.Body)
+	w.Header().Set(HeaderRun, q.Header.Get(HeaderRun))
 	_, _ = w.Write(body)
 })
 
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -61,6 +61,10 @@
 type httpUpstream struct {
 	address string
 	client  *http.Client
+	// repeatsRun is set while the upstream repeats HeaderRun in its responses. Only
+	// then do connections carry more than one call: without it, a late copy of an
+	// earlier response could not be told from the response to a call.
+	repeatsRun atomic.Bool
 }
 
 func newHTTPUpstream(s upstreamSettings) *httpUpstream {
@@ -86,9 +90,12 @@
 
 // Run implements Upstream.
 func (u *httpUpstream) Run(ctx context.Context, c *portage.Call, id string, left clock.Millis) RunResult {
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(i.Reused)
+		},
 	}
 	q, err := u.newRequest(httptrace.WithClientTrace(ctx, trace), c)
 	if err != nil {
@@ -99,14 +106,32 @@
 	q.Header.Set(HeaderKind, c.Kind)
 	q.Header.Set(HeaderTimeLeft, strconv.FormatInt(int64(left), 10))
 	q.Header.Set(HeaderRank, strconv.Itoa(int(c.Class)))
+	q.Close = !u.repeatsRun.Load()
 	res, err := u.client.Do(q)
 	if err != nil {
 		return transportFailure(connected.Load())
 	}
 	defer func() { _ = res.Body.Close() }()
+	if !u.isOwnResponse(res, id, reused.Load()) {
+		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonDamaged}
+	}
 	return readResponse(res)
 }
 
+// isOwnResponse reports whether a response belongs to the run with an id. On a
+// connection that carried another call before, only one that repeats the id does. If
+// the response belongs to another run, so may what the idle connections hold, which
+// are closed.
+func (u *httpUpstream) isOwnResponse(res *http.Response, id string, reused bool) bool {
+	run := res.Header.Get(HeaderRun)
+	u.repeatsRun.Store(run != "")
+	if run == id || run == "" && !reused {
+		return true
+	}
+	u.client.CloseIdleConnections()
+	return false
+}
+
 // transportFailure returns the result of a call without a response. Without a
 // connection the call did not run; with one, it may have run.
 func transportFailure(connected bool) RunResult {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -83,6 +83,7 @@
 // the service time and echoes the request body. Without a free slot it rejects
 // the call as not run.
 func (u *upstream) handleCall(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set(headerRun, q.Header.Get(headerRun))
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
