booking, depot, platform: no call begins on an upstream that is known to leave

Cause: whether the upstream takes new calls was looked at when a call arrived, and not again. A call waits up to most of its target time after that, is sent again after a rejection, and may wait for a connection or a health check.

Ruled out: news that came late (it came 0.1 s after the report), other nodes that went on choosing the server (each late request had been queued before), repeats (repeat=false).

The controller now holds that state under its lock: closing it refuses all calls that wait, which go to other VMs, and each new one. What it started before is checked again right before the first byte is sent, in both upstreams, after connecting and after any health check; so are the deadline, which was told to the server as it had been before connecting, and whether the caller still waits. An attempt that was not sent no longer hides that an earlier one reached the upstream.

Weighed: to work off the queue for as long as drainS allows. The node knows the acknowledgement only within a second, the server may end right after drainS, and work that it cuts has an unknown outcome.

--- a/booking/controller.go
+++ b/booking/controller.go
@@ -27,6 +27,8 @@
 	// waiting is the sum of the sizes of the queues, at most queueCapacity.
 	waiting       int
 	queueCapacity int
+	// closed is set while the upstream takes no new calls. None waits then.
+	closed bool
 	// starts counts the calls started.
 	starts uint64
 	queues [NumClasses]classQueue
@@ -80,7 +82,7 @@
 		c.state = callEnded
 		c.overloaded = v != VerdictExpired
 		ct.load.countRefusal(c.class)
-	case VerdictBusy:
+	case VerdictBusy, VerdictClosed:
 		c.state = callEnded
 	case VerdictStart, VerdictQueued:
 	}
@@ -98,6 +100,9 @@
 }
 
 func (ct *Controller) admit(now clock.Millis, c *Call) Verdict {
+	if ct.closed {
+		return VerdictClosed
+	}
 	if now >= c.deadline {
 		return VerdictExpired
 	}
--- a/booking/controller_test.go
+++ b/booking/controller_test.go
@@ -21,6 +21,8 @@
 	waiting []*Call
 	// reserved holds ended calls that still count in the quota of their kind.
 	reserved []*Call
+	// closed is set while the controller is closed.
+	closed bool
 }
 
 // collect removes calls with a verdict from the waiting ones and checks the
@@ -30,6 +32,9 @@
 	for _, c := range s.waiting {
 		select {
 		case v := <-c.Decided():
+			if v == VerdictStart && s.closed {
+				t.Fatal("got a start while the controller is closed, want none")
+			}
 			if v == VerdictStart {
 				s.running = append(s.running, c)
 			}
@@ -48,6 +53,9 @@
 	if st.Running > s.slots {
 		t.Fatalf("running: got %d, want at most %d", st.Running, s.slots)
 	}
+	if s.closed && st.Waiting > 0 {
+		t.Fatalf("got %d calls that wait while the controller is closed, want none", st.Waiting)
+	}
 	forSlot := st.Waiting
 	if s.quotas {
 		forSlot = s.controller.waitingForSlot()
@@ -76,9 +84,20 @@
 					s.running = append(s.running, c)
 				case VerdictQueued:
 					s.waiting = append(s.waiting, c)
-				case VerdictExpired, VerdictShed, VerdictBusy, VerdictDownstreamOverload:
+				case VerdictExpired, VerdictShed, VerdictBusy, VerdictDownstreamOverload, VerdictClosed:
+				}
+				if s.closed && c.state != callEnded {
+					t.Fatal("got a call admitted while the controller is closed, want it refused")
 				}
 			},
+			"close": func(*rapid.T) {
+				s.controller.Close()
+				s.closed = true
+			},
+			"open": func(*rapid.T) {
+				s.controller.Open()
+				s.closed = false
+			},
 			"end": func(t *rapid.T) {
 				if len(s.running) == 0 {
 					return
@@ -193,7 +212,7 @@
 					served[kind]++
 				case VerdictQueued:
 					waiting[c] = true
-				case VerdictExpired, VerdictShed, VerdictBusy, VerdictDownstreamOverload:
+				case VerdictExpired, VerdictShed, VerdictBusy, VerdictDownstreamOverload, VerdictClosed:
 				}
 			}
 		}
--- a/booking/verdict.go
+++ b/booking/verdict.go
@@ -20,6 +20,9 @@
 	// VerdictBusy refuses a call that would wait longer than its maximum wait. It
 	// may be sent to another node.
 	VerdictBusy
+	// VerdictClosed refuses a call because the upstream takes no new calls. It may
+	// be sent to another node.
+	VerdictClosed
 )
 
 // String returns the name used in refusals and metrics.
@@ -37,6 +40,8 @@
 		return "onward-overload"
 	case VerdictBusy:
 		return "busy"
+	case VerdictClosed:
+		return "closed"
 	default:
 		return "unknown"
 	}
--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -24,9 +24,10 @@
 // fakeAdapter is a Source and an Upstream under the control of a test, and holds
 // the node that uses them.
 type fakeAdapter struct {
-	node         *Node
-	sink         chan Sink
-	run          func(ctx context.Context, c *portage.Call) RunResult
+	node *Node
+	sink chan Sink
+	run  func(ctx context.Context, c *portage.Call) RunResult
+	// runs counts the runs that begin.
 	runs         atomic.Int64
 	platformDown atomic.Bool
 	// polls counts the polls of the platform, and copies the copies made for other
@@ -108,9 +109,12 @@
 	return nil
 }
 
-func (a *fakeAdapter) Run(ctx context.Context, c *portage.Call, _ string, _ clock.Millis) RunResult {
+func (a *fakeAdapter) Run(ctx context.Context, r *Run) RunResult {
+	if _, refused := r.Begin(ctx); refused != nil {
+		return *refused
+	}
 	a.runs.Add(1)
-	return a.run(ctx, c)
+	return a.run(ctx, r.Call())
 }
 
 // noFrontend knows no request.
--- a/depot/late_response_test.go
+++ b/depot/late_response_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"cuminhollow.example/clock"
 	"cuminhollow.example/portage"
 )
 
@@ -68,6 +69,13 @@
 	}
 }
 
+// newRun returns a run on an upstream that takes new calls, with a time left in
+// milliseconds.
+func newRun(c *portage.Call, id string, left clock.Millis) *Run {
+	now := clock.NewSystem()
+	return NewRun(c, id, now, now.Now()+left, func() bool { return false })
+}
+
 // TestLateResponse has an upstream that sends a response a second time, late, on a
 // connection in use. No call may get the response to another one, and what follows
 // must be answered again.
@@ -89,7 +97,7 @@
 			} {
 				server.late.Store(n == 3)
 				id := fmt.Sprint("run-", n)
-				got := u.Run(t.Context(), &portage.Call{Method: http.MethodPost, Path: "/", Body: []byte(id)}, id, 2000)
+				got := u.Run(t.Context(), newRun(&portage.Call{Method: http.MethodPost, Path: "/", Body: []byte(id)}, id, 2000))
 				if got.Outcome != want || want == portage.OutcomeAnswered && string(got.Body) != id {
 					t.Errorf("call %d: got %s %q, want %s", n, got.Outcome, got.Body, want)
 				}
--- a/depot/metrics.go
+++ b/depot/metrics.go
@@ -101,6 +101,12 @@
 		{"cuminhollow.limit", "Concurrency limit of the upstream.", "{call}", func() int64 { return int64(o.controller.Stats().Limit) }},
 		{"cuminhollow.running", "Calls that run on the upstream.", "{call}", func() int64 { return int64(o.controller.Stats().Running) }},
 		{"cuminhollow.waiting", "Calls that wait for the upstream.", "{call}", func() int64 { return int64(o.controller.Stats().Waiting) }},
+		{"cuminhollow.upstream.closed", "Whether the upstream takes no new calls, 1 or 0.", "{state}", func() int64 {
+			if o.controller.Closed() {
+				return 1
+			}
+			return 0
+		}},
 		{"cuminhollow.completion_records", "Completion records kept.", "{record}", func() int64 { return int64(o.completions.Stats().Records) }},
 		{"cuminhollow.control.bytes", "Bytes sent to peers besides calls and answers, since the start.", "By", traffic.ControlBytes},
 		{"cuminhollow.control.messages", "Messages sent to peers besides calls and answers, since the start.", "{message}", traffic.ControlMessages},
--- a/depot/node_test.go
+++ b/depot/node_test.go
@@ -176,7 +176,7 @@
 // upstream listens at the address.
 func TestUnreachableUpstream(t *testing.T) {
 	u := newHTTPUpstream(upstreamSettings{Address: "127.0.0.1:1", Slots: 1, Connections: 1})
-	got := u.Run(t.Context(), &portage.Call{Method: http.MethodPost, Path: "/"}, "id", 1000)
+	got := u.Run(t.Context(), newRun(&portage.Call{Method: http.MethodPost, Path: "/"}, "id", 1000))
 	if got.Outcome != portage.OutcomeNotRun {
 		t.Errorf("got %s, want %s", got.Outcome, portage.OutcomeNotRun)
 	}
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -40,9 +40,8 @@
 	metrics     *metrics
 	// retryLimiter limits the rate of the retries that may reach the upstream.
 	retryLimiter *ledger.RetryLimiter
-	leaving      atomic.Bool
-	// upstreamClosed is set while the upstream takes no new work.
-	upstreamClosed atomic.Bool
+	// leaving is set once the node rejects new calls.
+	leaving atomic.Bool
 	// ready is set once the node serves the nested calls of the upstream. A run that
 	// makes one before would wait for it.
 	ready *atomic.Bool
@@ -164,7 +163,7 @@
 func (o *owner) admit(ctx context.Context, c *portage.Call, deadline clock.Millis) *portage.Answer {
 	o.inFlight.Add(1)
 	defer o.inFlight.Add(-1)
-	if o.leaving.Load() || o.upstreamClosed.Load() {
+	if o.leaving.Load() {
 		return o.reject(c, reasonLeaving, deadline)
 	}
 	if !o.ready.Load() {
@@ -191,6 +190,8 @@
 		a = o.reject(c, reasonDownstreamOverload, deadline)
 	case booking.VerdictBusy:
 		a = o.reject(c, reasonBusy, deadline)
+	case booking.VerdictClosed:
+		a = o.reject(c, reasonLeaving, deadline)
 	case booking.VerdictShed, booking.VerdictQueued:
 		a = o.reject(c, reasonOverload, deadline)
 	}
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -80,10 +80,13 @@
 		o.retryLimiter.RecordFirst(o.clock.Now())
 	}
 	pause := upstreamRetryDelay
+	reached := false
 	for attempt := 1; ; attempt++ {
 		began := o.clock.Now()
-		res := o.upstream.Run(ctx, c, id, deadline-began)
+		res := o.upstream.Run(ctx, NewRun(c, id, o.clock, deadline, o.controller.Closed))
 		ended := o.clock.Now()
+		reached = reached || res.Reached
+		res.Reached = reached
 		if !res.Retryable || ctx.Err() != nil || ended+maxUpstreamRetryDelay >= deadline || !o.retryLimiter.AllowRetry(ended) {
 			return res
 		}
--- a/depot/source.go
+++ b/depot/source.go
@@ -111,7 +111,7 @@
 // is not listed.
 func (n *Node) updateUpstream(own *record.VM) {
 	if own == nil {
-		if n.upstreamListed.Load() && !n.owner.upstreamClosed.Swap(true) {
+		if n.upstreamListed.Load() && n.owner.controller.Close() {
 			n.log.Info().Str("event", "upstream-gone").Send()
 		}
 		return
@@ -120,8 +120,13 @@
 	if slots := own.Slots(); slots > 0 {
 		n.owner.controller.Resize(n.clock.Now(), slots)
 	}
-	closed := own.State() != record.StateLive
-	if n.owner.upstreamClosed.Swap(closed) != closed {
+	changed := false
+	if own.State() == record.StateLive {
+		changed = n.owner.controller.Open()
+	} else {
+		changed = n.owner.controller.Close()
+	}
+	if changed {
 		n.log.Info().Str("event", "upstream-state").Str("upstream", own.Name()).Str("state", string(own.State())).Send()
 	}
 }
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"cuminhollow.example/clock"
 	"cuminhollow.example/portage"
 )
 
@@ -21,10 +20,9 @@
 
 // Upstream runs calls on the VM's own upstream. It is safe for concurrent use.
 type Upstream interface {
-	// Run sends a call to the upstream and returns its result. The id identifies
-	// the run, and left is the time until the call's deadline, in milliseconds.
-	// Run returns early when ctx ends.
-	Run(ctx context.Context, c *portage.Call, id string, left clock.Millis) RunResult
+	// Run sends a call to the upstream and returns its result. It returns early when
+	// ctx ends.
+	Run(ctx context.Context, r *Run) RunResult
 }
 
 // RunResult is the result of a call on the upstream.
@@ -73,7 +71,13 @@
 		address: s.Address,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					raw, err := dialer.DialContext(ctx, network, address)
+					if err != nil {
+						return nil, err
+					}
+					return &guardedConn{Conn: raw}, nil
+				},
 				MaxConnsPerHost:     s.Connections,
 				MaxIdleConnsPerHost: s.Connections,
 				IdleConnTimeout:     time.Minute,
@@ -89,30 +93,39 @@
 }
 
 // Run implements Upstream.
-func (u *httpUpstream) Run(ctx context.Context, c *portage.Call, id string, left clock.Millis) RunResult {
+func (u *httpUpstream) Run(ctx context.Context, r *Run) RunResult {
 	var connected, reused atomic.Bool
+	var refusal atomic.Pointer[RunResult]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			if _, refused := r.Begin(ctx); refused != nil {
+				refusal.Store(refused)
+				i.Conn.(*guardedConn).refuse()
+			}
 			connected.Store(true)
 			reused.Store(i.Reused)
 		},
 	}
+	c := r.Call()
 	q, err := u.newRequest(httptrace.WithClientTrace(ctx, trace), c)
 	if err != nil {
 		return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonDamaged}
 	}
-	q.Header.Set(HeaderRun, id)
+	q.Header.Set(HeaderRun, r.ID())
 	q.Header.Set(HeaderRequest, c.Request)
 	q.Header.Set(HeaderKind, c.Kind)
-	q.Header.Set(HeaderTimeLeft, strconv.FormatInt(int64(left), 10))
+	q.Header.Set(HeaderTimeLeft, strconv.FormatInt(int64(r.Left()), 10))
 	q.Header.Set(HeaderRank, strconv.Itoa(int(c.Class)))
 	q.Close = !u.repeatsRun.Load()
 	res, err := u.client.Do(q)
-	if err != nil {
+	switch {
+	case err != nil && refusal.Load() != nil:
+		return *refusal.Load()
+	case err != nil:
 		return transportFailure(connected.Load())
 	}
 	defer func() { _ = res.Body.Close() }()
-	if !u.isOwnResponse(res, id, reused.Load()) {
+	if !u.isOwnResponse(res, r.ID(), reused.Load()) {
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonDamaged}
 	}
 	return readResponse(res)
--- a/kiln/node.go
+++ b/kiln/node.go
@@ -151,7 +151,7 @@
 		respond(answer{outcome: refused, reason: downstreamOverload})
 	case booking.VerdictExpired:
 		respond(answer{outcome: refused, reason: expired})
-	case booking.VerdictShed, booking.VerdictQueued:
+	case booking.VerdictShed, booking.VerdictQueued, booking.VerdictClosed:
 		respond(answer{outcome: refused, reason: noCapacity})
 	}
 }
