depot, platform: logs tell which instance a call was addressed to

A call that a server refuses with 421 may be sent again to another id than that of the VM it is for; no line told of that id. `ran` and `sent-again` do now.

--- a/depot/decisions.go
+++ b/depot/decisions.go
@@ -96,7 +96,7 @@
 	}
 	e.Str("event", "ran").Str("id", c.Request).Str("kind", c.Kind).Str("vm", c.VM).
 		Str("origin", c.Origin).Stringer("outcome", r.Outcome).Str("reason", r.Reason).
-		Int("status", r.Status).Int64("queued_ms", int64(queued)).Int64("ran_ms", int64(ran)).
+		Str("instance", r.Instance).Int("status", r.Status).Int64("queued_ms", int64(queued)).Int64("ran_ms", int64(ran)).
 		Int64("left_ms", int64(left)).Bool("repeat", c.Repeat).
 		Uint64("conn", r.Conn.Number).Int("conn_requests", r.Conn.Requests).Int("skipped", r.Conn.Skipped).Send()
 }
@@ -105,7 +105,7 @@
 // rejected it. The result and its duration are those of the previous attempt.
 func (d *decisionLog) sentAgain(c *portage.Call, r RunResult, attempt int, took, pause clock.Millis) {
 	d.log.Info().Str("event", "sent-again").Str("id", c.Request).Str("kind", c.Kind).Str("vm", c.VM).
-		Int("attempt", attempt).Str("reason", r.Reason).
+		Str("instance", r.Instance).Int("attempt", attempt).Str("reason", r.Reason).
 		Int64("took_ms", int64(took)).Int64("pause_ms", int64(pause)).
 		Uint64("conn", r.Conn.Number).Int("conn_requests", r.Conn.Requests).Int("skipped", r.Conn.Skipped).Send()
 }
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -40,6 +40,9 @@
 	Status    int
 	Header    []portage.Field
 	Body      []byte
+	// Instance is the name of the process that was to run the call, where the adapter
+	// names one.
+	Instance string
 	// Conn tells on which connection the call was sent.
 	Conn ConnUse
 }
