--- a/depot/settings_adapter.go
+++ b/depot/settings_adapter.go
@@ -12,6 +12,9 @@
 	// AnswerGrace is how long to wait for an answer after the deadline of its
 	// call, in milliseconds.
 	AnswerGrace clock.Millis `yaml:"answer_grace_ms"`
+	// AddressReuse is the least time between the end of an upstream and the start of
+	// one of another service at its address, in seconds; 0 if it is not known.
+	AddressReuse float64 `yaml:"address_reuse_s"`
 	// PeerPort is the port on which the nodes of all VMs listen for peers.
 	PeerPort int `yaml:"peer_port"`
 }
--- a/depot/settings_check.go
+++ b/depot/settings_check.go
@@ -172,8 +172,8 @@
 	if f.HeapGrowth < 0 || f.HeapGrowth > maxHeapGrowth {
 		c.addFault(c.line("", "heap_growth_percent"), "heap_growth_percent must be 0 to %d", maxHeapGrowth)
 	}
-	if a := f.Adapter; a.Name != "" && (a.PeerPort < 0 || a.PeerPort > 65535 || a.AnswerGrace < 0) {
-		c.addFault(c.line("", "adapter"), "adapter.peer_port must be 0 to 65535, adapter.answer_grace_ms must be 0 or more")
+	if a := f.Adapter; a.Name != "" && (a.PeerPort < 0 || a.PeerPort > 65535 || a.AnswerGrace < 0 || a.AddressReuse < 0) {
+		c.addFault(c.line("", "adapter"), "adapter.peer_port must be 0 to 65535, adapter.answer_grace_ms and adapter.address_reuse_s must be 0 or more")
 	}
 }
 
