spec: the upstream may reject work and send a copy of that late

The model had an upstream whose answer is lost, but none that rejects, so it could not find that a repeat on the connection of the rejection takes a late copy of it for its own answer. The owner sends work again on a new connection; mutation REUSE_CONNECTION uses the old one and violates at_most_once.

--- a/spec/once.pml
+++ b/spec/once.pml
@@ -10,7 +10,8 @@
  * incarnation at any time, which loses its memory; its runs on the upstream stay
  * counted. A process that is paused and resumed is modelled as one that takes its
  * next step late: the checker explores every delay. Entries with different VM
- * lists are covered, since each entry picks any owner.
+ * lists are covered, since each entry picks any owner. An upstream may reject the
+ * work, and a copy of that rejection may arrive later on its connection.
  *
  * Each mutation is enabled by a macro and must violate a property:
  *   IGNORE_INCARNATION      the owner ignores the incarnation in a ticket
@@ -23,12 +24,15 @@
  *                           low-water mark
  *   RETRY_LOST              the owner runs work again after its connection to
  *                           the upstream was lost
+ *   REUSE_CONNECTION        the owner sends work again on the connection on which
+ *                           the upstream rejected it
  */
 
 #define OWNERS         2
 #define TICKETS        2
 #define MAX_RESTARTS   2
 #define MAX_DUPLICATES 2
+#define MAX_REJECTIONS 2
 
 #define NONE    0
 #define QUEUED  1
@@ -61,6 +65,11 @@
 bool querySent[TICKETS];
 byte answer[TICKETS];
 
+/* How often the upstreams rejected the work, and whether a copy of a rejection by
+ * the upstream of each owner may still arrive on the connection of that rejection. */
+byte rejections = 0;
+bool copyPending[OWNERS];
+
 /* The number of times that the work ran on the upstreams, over all tickets. */
 byte runs = 0;
 
@@ -117,14 +126,27 @@
 	fi
 }
 
-/* Admission control rejects the work or passes it to the upstream. */
+/* Admission control rejects the work or passes it to the upstream, which may reject
+ * it too. It is sent again then, on a new connection, and so cannot receive a copy of
+ * that rejection. */
 inline admit(o, t) {
 	if
 	:: STATE(o, t) = REFUSED; answer[t] = NOT_RUN
+	:: rejections < MAX_REJECTIONS -> rejections++; copyPending[o] = true
 	:: STATE(o, t) = STARTED;
 		/* Two runs violate the property already; counting more
 		 * would only add states. */
 		runs = (runs < 2 -> runs + 1 : runs)
+#ifdef REUSE_CONNECTION
+		;
+		if
+		:: copyPending[o] ->
+			copyPending[o] = false;
+			STATE(o, t) = REFUSED;
+			answer[t] = NOT_RUN
+		:: skip
+		fi
+#endif
 	fi
 }
 
@@ -161,6 +183,7 @@
 	incarnation[o]++;
 	STATE(o, 0) = NONE;
 	STATE(o, 1) = NONE;
+	copyPending[o] = false;
 	lowWaterMark[o] = 0
 }
 
