depot, platform: a planned stop answers all that it has taken

Cause: requests are taken for 0.38 of the grace time and may wait and run for as long as their route allows, at other nodes too, but all connections are closed at 0.85. Nothing ended such a request before.

Ruled out: the landing server (it had read the request and waits for its handler).

Requests that come during the stop get a deadline within it (0.8). What still waits then is refused: at the node's own queue, so that it goes to other VMs, and at other nodes by a cancellation and a question for the ticket's outcome. What runs is awaited until 0.84, within the last sixth, and told as unknown. The answer that a server gives at the deadline of idempotent work is awaited for 120 ms; it was cut off before and told as unknown.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -148,7 +148,7 @@
 listen: {callers: %q, peers: %q, operators: %q}
 upstream: {address: %q}
 platform: ["127.0.0.1:1"]
-adapter: {name: test}
+adapter: {name: test, answer_grace_ms: 100}
 transport: {plain: true}
 policy: {limit: fixed}
 %s
@@ -329,12 +329,12 @@
 	if a.node.Ready() {
 		t.Error("after the stop began: got ready, want not")
 	}
-	if !a.node.Closed() {
-		if got := entry.dispatch(idempotentPolicy, 1).Outcome; got != portage.OutcomeAnswered && !a.node.Closed() {
+	if !a.node.closed.Load() {
+		if got := entry.dispatch(idempotentPolicy, 1).Outcome; got != portage.OutcomeAnswered && !a.node.closed.Load() {
 			t.Errorf("while stopping, before the node is closed: got %s, want answered", got)
 		}
 	}
-	for end := time.Now().Add(10 * time.Second); !a.node.Closed() && time.Now().Before(end); {
+	for end := time.Now().Add(10 * time.Second); !a.node.closed.Load() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	before := a.runs.Load()
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -143,7 +143,7 @@
 	}
 	grant := o.scope.account.Grant()
 	c.Grant = grant.Size()
-	a, sent, err := s.sendUntilAnswered(ctx, link, &c, o)
+	a, sent, err := s.sendUntilRecalled(ctx, link, &c, o)
 	switch {
 	case err == nil:
 		grant.Return(a.Unspent)
@@ -153,6 +153,31 @@
 	return a, sent, err
 }
 
+// sendUntilRecalled is sendUntilAnswered until a planned stop recalls what waits. A
+// call with a ticket is withdrawn then if it has not begun; otherwise its outcome is
+// awaited further. One without a ticket is not withdrawn, since that would end a run in
+// progress.
+func (s *sender) sendUntilRecalled(ctx context.Context, link *portage.Link, c *portage.Call, o *outgoingCall) (*portage.Answer, bool, error) {
+	if c.Ticket == "" {
+		return s.sendUntilAnswered(ctx, link, c, o)
+	}
+	recallable, cancel := s.stop.recallContext(ctx)
+	defer cancel()
+	a, sent, err := s.sendUntilAnswered(recallable, link, c, o)
+	if err == nil || !sent || ctx.Err() != nil {
+		return a, sent, err
+	}
+	r, err := link.Do(ctx, &portage.Query{Ticket: c.Ticket, TimeLeftMS: int64(o.scope.deadline + s.answerGrace - s.clock.Now())})
+	if err != nil {
+		return nil, true, err
+	}
+	a, ok := r.(*portage.Answer)
+	if !ok || a.Outcome == portage.OutcomeAnswered && portage.Checksum(a.Body) != a.Sum {
+		return nil, true, &portage.Error{Op: "check outcome", Kind: portage.KindFrame}
+	}
+	return a, true, nil
+}
+
 // sendUntilAnswered sends the call to one owner. When the connection is lost, a
 // call with a ticket is sent to the same owner again over a new connection,
 // until there is an answer or ctx ends; the ticket keeps the work from running
--- a/depot/entry.go
+++ b/depot/entry.go
@@ -34,6 +34,7 @@
 	// service is the service of the node's VM.
 	service string
 	leaving atomic.Bool
+	stop    *entryStop
 	bodies  *BodyReader
 	// inFlight counts the calls that are not answered yet.
 	inFlight atomic.Int64
@@ -69,10 +70,10 @@
 		return
 	}
 	defer body.Release()
-	ctx, cancel := context.WithCancel(r.ctx)
+	ctx, cancel := e.stop.callContext(r.ctx)
 	defer cancel()
-	stop := context.AfterFunc(q.Context(), cancel)
-	defer stop()
+	detach := context.AfterFunc(q.Context(), cancel)
+	defer detach()
 	scoped := *r
 	scoped.ctx = ctx
 	o := newOutgoingCall(&scoped, policy, policy.Service(), portage.Call{
@@ -122,6 +123,7 @@
 	if left > 0 {
 		r.deadline = min(r.deadline, e.clock.Now()+left)
 	}
+	r.deadline = e.stop.limit(r.deadline)
 	return r, ""
 }
 
--- a/depot/node.go
+++ b/depot/node.go
@@ -166,10 +166,13 @@
 		memory:       n.bodyMemory,
 		ready:        &n.ready,
 	}
+	stop := newEntryStop()
 	n.entry = &entry{
 		clock: n.clock,
 		store: n.store,
+		stop:  stop,
 		sender: &sender{
+			stop:          stop,
 			decisions:     n.decisions,
 			clock:         n.clock,
 			router:        n.router,
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -16,6 +16,9 @@
 	// outcomeGrace is how long non-idempotent work may run past its deadline,
 	// so that its outcome still becomes known, in milliseconds.
 	outcomeGrace = 10 * clock.Second
+	// answerTime is how long after its deadline the answer to idempotent work is still
+	// awaited, in milliseconds: the upstream may end it at the deadline and say so.
+	answerTime clock.Millis = 120
 	// answerOverhead is the memory of a stored answer besides its body, in bytes.
 	answerOverhead = 512
 	// upstreamRetryDelay is the first delay before a call that the upstream
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -24,9 +24,9 @@
 		o.freeSlot(now, ac, booking.ResultCancelled)
 		return o.reject(c, reasonExpired, deadline)
 	}
-	limit := deadline
+	limit := deadline + answerTime
 	if c.Ticket != "" {
-		limit += outcomeGrace
+		limit = deadline + outcomeGrace
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := withDeadline(ctx, o.clock, limit)
--- a/depot/sender.go
+++ b/depot/sender.go
@@ -27,6 +27,8 @@
 	// controller estimates the overload of the services that the VM's own
 	// upstream calls, from the answers to its nested calls.
 	controller *booking.Controller
+	// stop withdraws calls that wait when a planned stop ends.
+	stop *entryStop
 	// answerGrace is how long after its deadline the answer to a call is still
 	// awaited, in milliseconds.
 	answerGrace clock.Millis
@@ -55,7 +57,7 @@
 // allowAttempt reports whether the call gets another attempt, and charges it to
 // the limits on failovers or retries.
 func (s *sender) allowAttempt(o *outgoingCall, next action) bool {
-	if next == actionReturn || o.scope.ctx.Err() != nil || s.clock.Now() >= o.scope.deadline {
+	if next == actionReturn || o.scope.ctx.Err() != nil || s.stop.recalled.Err() != nil || s.clock.Now() >= o.scope.deadline {
 		return false
 	}
 	if next == actionFailover && o.attempts.TakeFailover() {
--- a/depot/stop.go
+++ b/depot/stop.go
@@ -30,17 +30,30 @@
 }
 
 // stop keeps serving until callers have seen that the node is not ready, then
-// drains the node, waits for the calls in progress and closes the ports.
+// drains the node, waits for the calls in progress and closes the ports. Calls that
+// cannot end in time are rejected while they wait, and answered as unknown when they
+// run, so that none ends without an answer.
 func (n *Node) stop(peers net.Listener, callers []*landing.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.stop.timeout())
+	settings := n.settings.stop
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(settings.timeout()))
 	defer cancel()
+	n.entry.stop.begin(n.clock.Now() + clock.FromDuration(settings.recall()))
 	n.stopping.Store(true)
 	close(n.copyServer.stopping)
 	n.log.Info().Str("event", "stopping").Str("vm", n.settings.vm).Send()
-	clock.Sleep(ctx, n.settings.stop.linger())
+	clock.Sleep(ctx, settings.linger())
 	n.Drain()
 	n.closed.Store(true)
-	n.awaitIdle(ctx)
+	if !n.awaitIdle(ctx, began.Add(settings.recall())) {
+		n.log.Info().Str("event", "recalling").Int64("owned", n.owner.inFlight.Load()).Int64("taken", n.entry.inFlight.Load()).Send()
+		n.owner.controller.Close()
+		n.entry.stop.recall()
+	}
+	if !n.awaitIdle(ctx, began.Add(settings.giveUp())) {
+		n.log.Info().Str("event", "giving-up").Int64("owned", n.owner.inFlight.Load()).Int64("taken", n.entry.inFlight.Load()).Send()
+		n.entry.stop.giveUp()
+	}
 	for _, s := range callers {
 		_ = s.Shutdown(ctx)
 	}
@@ -49,9 +62,11 @@
 	n.peers.close()
 }
 
-// awaitIdle waits until no call has been in progress for idleSpan, or until ctx
-// ends.
-func (n *Node) awaitIdle(ctx context.Context) {
+// awaitIdle waits until no call has been in progress for idleSpan, and reports whether
+// that was so before a time.
+func (n *Node) awaitIdle(ctx context.Context, until time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
 	idleSince := time.Now()
@@ -61,8 +76,9 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-ticker.C:
 		}
 	}
+	return true
 }
--- a/depot/ticket.go
+++ b/depot/ticket.go
@@ -37,7 +37,7 @@
 	c.Ticket = o.ticket.String()
 	grant := o.scope.account.Grant()
 	c.Grant = grant.Size()
-	a, _, err := s.sendUntilAnswered(ctx, link, &c, o)
+	a, _, err := s.sendUntilRecalled(ctx, link, &c, o)
 	if err != nil {
 		return unknownAnswer(reasonAnswerLost)
 	}
--- a/depot/work.go
+++ b/depot/work.go
@@ -50,8 +50,10 @@
 	// Leaving reports whether the node is stopping or drained; its callers'
 	// connections should then not be kept alive.
 	Leaving() bool
-	// Closed reports whether the node has stopped taking calls.
-	Closed() bool
+	// TakesCalls reports whether the node still takes calls of a policy. In the later
+	// part of a planned stop it only takes nested calls, while its upstream runs what
+	// makes them.
+	TakesCalls(p *record.Policy) bool
 	// Ready reports whether the node has routes and is not leaving.
 	Ready() bool
 }
@@ -61,6 +63,8 @@
 	n.entry.inFlight.Add(1)
 	defer n.entry.inFlight.Add(-1)
 	began := n.clock.Now()
+	ctx, cancel := n.entry.stop.callContext(ctx)
+	defer cancel()
 	o := n.entry.prepareCall(ctx, c)
 	a := n.entry.sender.send(o)
 	n.decisions.answered(o, a, n.clock.Now()-began, n.configurationVersion())
@@ -85,8 +89,10 @@
 // Leaving implements Dispatcher.
 func (n *Node) Leaving() bool { return n.stopping.Load() || n.owner.leaving.Load() }
 
-// Closed implements Dispatcher.
-func (n *Node) Closed() bool { return n.closed.Load() }
+// TakesCalls implements Dispatcher.
+func (n *Node) TakesCalls(p *record.Policy) bool {
+	return !n.closed.Load() || n.owner.inFlight.Load() > 0 && n.entry.sender.isNested(p.Name())
+}
 
 // Ready implements Dispatcher.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.Leaving() }
@@ -105,7 +111,7 @@
 		group:     p.Name(),
 		caller:    c.Caller,
 		began:     now,
-		deadline:  now + c.TimeLeft,
+		deadline:  e.stop.limit(now + c.TimeLeft),
 		account:   ledger.NewAccount(p.ExtraTries()),
 	}
 	return newOutgoingCall(r, p, p.ServiceAt(rand.Float64()), portage.Call{
