depot, platform: answers without an end share one budget of memory

A server whose answers do not end, to as many calls as it has slots, made its node hold up to 2 MiB for each (reported by other operators: the machine runs out of memory, and the requests of other clients end with it). With 168 slots the test sees 440 MB held, on VMs of 184 MB.

Cause: the head and the body of one answer were bounded, what all of them take together was not.

What arrives of an answer beyond its first 16 KB is taken from a budget of an eighth of the VM's memory, with what a byte takes while it is read: three times for a body, sixteen for a head, whose short fields become entries of a map. Without memory the connection is closed and the outcome is unknown, as the server had the call. Ordinary answers need none, and request bodies have a budget of their own.

Test, failing before: platform.TestManyEndlessAnswers (bodies 440 MB, header lines 41 MB, at most 35 MB allowed); a mutation.

--- a/depot/metrics.go
+++ b/depot/metrics.go
@@ -116,6 +116,7 @@
 			return int64(o.controller.KindStats(n.clock.Now(), "").DownstreamOverload * overloadScale)
 		}},
 		{"cuminhollow.body.memory", "Memory reserved for the bodies of calls in flight.", "By", n.bodyMemory.Used},
+		{"cuminhollow.answer.memory", "Memory reserved for long answers of the upstream that are being read.", "By", o.answerMemory.Used},
 		{"cuminhollow.heap", "Live heap.", "By", heapBytes},
 	}, n.gauges...)
 	if n.source != nil {
--- a/depot/node.go
+++ b/depot/node.go
@@ -164,6 +164,7 @@
 		metrics:      n.metrics,
 		retryLimiter: s.retries.newLimiter(),
 		memory:       n.bodyMemory,
+		answerMemory: ledger.NewBytes(s.vmLimits.answerMemory()),
 		ready:        &n.ready,
 	}
 	stop := newEntryStop()
--- a/depot/owner.go
+++ b/depot/owner.go
@@ -48,8 +48,9 @@
 	// ready is set once the node serves the nested calls of the upstream. A run that
 	// makes one before would wait for it.
 	ready *atomic.Bool
-	// memory is that for the bodies of the calls that are queued or running.
-	memory *ledger.Bytes
+	// memory is that for the bodies of the calls that are queued or running, and
+	// answerMemory that for answers of the upstream that are being read.
+	memory, answerMemory *ledger.Bytes
 	// inFlight counts these calls.
 	inFlight atomic.Int64
 }
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -83,7 +83,9 @@
 	reached := false
 	for attempt := 1; ; attempt++ {
 		began := o.clock.Now()
-		res := o.upstream.Run(ctx, NewRun(c, id, o.clock, deadline, o.controller.Closed))
+		run := NewRun(c, id, o.clock, deadline, o.controller.Closed, WithAnswerMemory(o.answerMemory))
+		res := o.upstream.Run(ctx, run)
+		run.release()
 		ended := o.clock.Now()
 		reached = reached || res.Reached
 		res.Reached = reached
--- a/depot/settings_limits.go
+++ b/depot/settings_limits.go
@@ -21,6 +21,15 @@
 	return int64(float64(l.Memory) * (1 << 20) * bodyMemoryShare)
 }
 
+// answerMemory returns the memory for answers of the upstream that are being read, in
+// bytes.
+func (l vmLimitSettings) answerMemory() int64 {
+	if l.Memory == 0 {
+		return defaultAnswerMemory
+	}
+	return int64(float64(l.Memory) * (1 << 20) * answerMemoryShare)
+}
+
 // maxCallerConns returns the maximum number of connections of callers; 0 for the
 // default.
 func (l vmLimitSettings) maxCallerConns() int {
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -131,7 +131,7 @@
 	if !u.isOwnResponse(res, r.ID(), reused.Load()) {
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonDamaged}
 	}
-	return readResponse(res)
+	return readResponse(res, r)
 }
 
 // isOwnResponse reports whether a response belongs to the run with an id. On a
@@ -157,10 +157,12 @@
 	return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonAnswerLost}
 }
 
-// readResponse returns the result of a call from the upstream's response.
-func readResponse(res *http.Response) RunResult {
-	body, err := io.ReadAll(io.LimitReader(res.Body, portage.MaxBody+1))
+// readResponse returns the result of a run from the upstream's response.
+func readResponse(res *http.Response, r *Run) RunResult {
+	body, err := io.ReadAll(NewAnswerReader(io.LimitReader(res.Body, portage.MaxBody+1), r, AnswerBodyCopies))
 	switch {
+	case errors.Is(err, ErrAnswerMemory):
+		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonMemory}
 	case err != nil, !isDelimited(res):
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonAnswerLost}
 	case len(body) > portage.MaxBody:
--- a/depot/upstream_run.go
+++ b/depot/upstream_run.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"cuminhollow.example/clock"
+	"cuminhollow.example/ledger"
 	"cuminhollow.example/portage"
 )
 
@@ -14,13 +15,30 @@
 	clock    clock.Clock
 	deadline clock.Millis
 	closed   func() bool
+	// memory is that for answers that are being read; nil if it is not limited.
+	memory *ledger.Bytes
+	// reserved is what this attempt has taken of it.
+	reserved int
+}
+
+// RunOption changes a Run.
+type RunOption func(*Run)
+
+// WithAnswerMemory limits the memory for the answer to what a budget allows. The
+// default is no limit.
+func WithAnswerMemory(memory *ledger.Bytes) RunOption {
+	return func(r *Run) { r.memory = memory }
 }
 
 // NewRun returns an attempt to run a call until a deadline on a clock. The id
 // identifies the run; all its attempts have the same. Closed reports whether the
 // upstream takes no new calls.
-func NewRun(c *portage.Call, id string, now clock.Clock, deadline clock.Millis, closed func() bool) *Run {
-	return &Run{call: c, id: id, clock: now, deadline: deadline, closed: closed}
+func NewRun(c *portage.Call, id string, now clock.Clock, deadline clock.Millis, closed func() bool, opts ...RunOption) *Run {
+	r := &Run{call: c, id: id, clock: now, deadline: deadline, closed: closed}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
 }
 
 // Call returns the call.
@@ -46,3 +64,24 @@
 	}
 	return left, nil
 }
+
+// Reserve takes n bytes of the memory for answers and reports whether there are as
+// many. They are released when the run has ended.
+func (r *Run) Reserve(n int) bool {
+	if r.memory == nil {
+		return true
+	}
+	if !r.memory.Reserve(n) {
+		return false
+	}
+	r.reserved += n
+	return true
+}
+
+// release frees the memory that the attempt has taken.
+func (r *Run) release() {
+	if r.memory != nil {
+		r.memory.Release(r.reserved)
+		r.reserved = 0
+	}
+}
