soak, standin: upstreams that reject calls and send responses twice, late

The soak's upstreams never wrote a response a second time, so it could not find that a late copy is taken for the answer to the next call. The fault `copies` makes one reject some calls and send some responses again when the next request on the connection arrives. Seeds from 1001 on draw it together with planned stops; those below keep their schedules, since some of them are regression cases.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,9 +47,13 @@
 		time.Sleep(e.Span)
 		r.fleet.Relay(v.VM).Enable()
 	case faultSlow:
-		r.setServiceTime(v, slowTime)
+		r.setUpstream(v, "service-time="+slowTime)
 		time.Sleep(e.Span)
-		r.setServiceTime(v, normalTime)
+		r.setUpstream(v, "service-time="+normalTime)
+	case faultCopies:
+		r.setUpstream(v, "rejects=0.3&copies=0.3")
+		time.Sleep(e.Span)
+		r.setUpstream(v, "rejects=0&copies=0")
 	default:
 		r.fail(fmt.Errorf("unknown fault %q", e.Kind))
 	}
@@ -127,11 +131,11 @@
 	}
 }
 
-// setServiceTime sets the run time of an upstream. One that is paused takes it when
-// it goes on.
-func (r *run) setServiceTime(v *vmState, d string) {
+// setUpstream changes parameters of an upstream. One that is paused takes them when it
+// goes on.
+func (r *run) setUpstream(v *vmState, parameters string) {
 	for range 3 {
-		if r.fleet.SetUpstream(v.VM, "service-time="+d) == nil {
+		if r.fleet.SetUpstream(v.VM, parameters) == nil {
 			return
 		}
 	}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -62,7 +62,7 @@
 }
 
 // doubtful are the faults that may leave the outcome of a request in doubt.
-var doubtful = []faultKind{faultKill, faultPauseNode, faultPauseUpstream, faultCut, faultSlow}
+var doubtful = []faultKind{faultKill, faultPauseNode, faultPauseUpstream, faultCut, faultSlow, faultCopies}
 
 // mayBeUncertain reports whether the faults meanwhile explain a request without a
 // certain outcome. After a fault of a connection the outcome of work that is not
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -29,6 +29,9 @@
 	faultPlatformDown faultKind = "platform-down"
 	// faultPublish publishes a new revision of a record.
 	faultPublish faultKind = "publish"
+	// faultCopies makes an upstream reject some calls and send some responses twice,
+	// late, for the span.
+	faultCopies faultKind = "copies"
 )
 
 // weightedFault is a fault with how often it is drawn.
@@ -44,7 +47,14 @@
 	linkFaults    = []weightedFault{{faultStop, 4}, {faultBreak, 4}, {faultSilence, 3}, {faultPublish, 3}}
 )
 
-// allFaults are all faults.
+// upstreamFaults are faults of upstreams during planned stops.
+var upstreamFaults = []weightedFault{{faultCopies, 6}, {faultStop, 3}, {faultSlow, 1}, {faultPublish, 1}}
+
+// upstreamSeeds is the first seed that draws from upstreamFaults. Seeds below it keep
+// the schedules that they always had.
+const upstreamSeeds = 1001
+
+// allFaults are the faults of nodes and connections.
 var allFaults = []weightedFault{
 	{faultKill, 3},
 	{faultStop, 4},
@@ -114,6 +124,9 @@
 
 // faultsOf returns the faults that a seed draws from.
 func faultsOf(seed uint64) []weightedFault {
+	if seed >= upstreamSeeds {
+		return upstreamFaults
+	}
 	switch seed % 3 {
 	case 0:
 		return plannedFaults
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,7 +47,7 @@
 	}
 	small := options{bin: bin, vmsPerService: 2, length: 4 * time.Second}
 	whole := options{bin: bin, vmsPerService: defaultNodes, length: defaultLength}
-	plays := map[uint64]options{1: small, 2: small, 6: small}
+	plays := map[uint64]options{1: small, 2: small, 6: small, upstreamSeeds: small}
 	for _, seed := range regressionSeeds(t) {
 		plays[seed] = whole
 	}
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -35,10 +36,19 @@
 // HTTP serves h at address until ctx is done, then closes all connections and
 // returns nil. It returns an error if the server cannot listen or fails.
 func HTTP(ctx context.Context, address string, h http.Handler) error {
-	server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return Listener(ctx, l, h)
+}
+
+// Listener is HTTP with a listener in place of an address.
+func Listener(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
 	}
 	return nil
--- a/standin/upstream/main.go
+++ b/standin/upstream/main.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"cuminhollow.example/standin/serve"
@@ -31,5 +33,10 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	return serve.HTTP(ctx, c.String("listen"), newUpstream(c).handler())
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", c.String("listen"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	u := newUpstream(c)
+	return serve.Listener(ctx, &lateListener{Listener: l, share: u.copies.Load}, u.handler())
 }
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -47,6 +48,9 @@
 	failing atomic.Bool
 	// draining makes the upstream reject every call as not run.
 	draining atomic.Bool
+	// rejects is the share of the calls that are rejected as not run, and copies that
+	// of the responses that are sent twice, both from 0 to 1.
+	rejects, copies share
 	// lossRate is the fraction of calls whose connection is closed after the
 	// run and before the response.
 	lossRate float64
@@ -93,7 +97,7 @@
 		http.Error(w, "simulated failure", http.StatusInternalServerError)
 		return
 	}
-	if u.draining.Load() {
+	if u.draining.Load() || rand.Float64() < u.rejects.Load() {
 		respondNotRun(w)
 		return
 	}
@@ -200,7 +204,26 @@
 	_ = json.NewEncoder(w).Encode(u.attempts.Load())
 }
 
-// handleSet changes the parameters service-time, failing and draining.
+// share is a number from 0 to 1 that may change at any time.
+type share struct{ bits atomic.Uint64 }
+
+// Load returns the share.
+func (s *share) Load() float64 { return math.Float64frombits(s.bits.Load()) }
+
+// set parses and stores the share if there is a text.
+func (s *share) set(text string) error {
+	if text == "" {
+		return nil
+	}
+	x, err := strconv.ParseFloat(text, 64)
+	if err == nil {
+		s.bits.Store(math.Float64bits(x))
+	}
+	return err
+}
+
+// handleSet changes the parameters service-time, failing, draining, rejects and
+// copies.
 func (u *upstream) handleSet(w http.ResponseWriter, q *http.Request) {
 	values := q.URL.Query()
 	if text := values.Get("service-time"); text != "" {
@@ -211,6 +234,10 @@
 		}
 		u.serviceTime.Store(int64(d))
 	}
+	if u.rejects.set(values.Get("rejects")) != nil || u.copies.set(values.Get("copies")) != nil {
+		http.Error(w, "parameters rejects and copies must be numbers", http.StatusBadRequest)
+		return
+	}
 	if values.Has("failing") {
 		u.failing.Store(values.Get("failing") == "true")
 	}
