--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -95,9 +95,6 @@
 		o.decisions.sentAgain(c, res, attempt, ended-began, pause)
 		clock.Sleep(ctx, pause.Duration())
 		pause = min(2*pause, maxUpstreamRetryDelay)
-		again := *c
-		again.Repeat = true
-		c = &again
 	}
 }
 
