--- a/spec/once.pml
+++ b/spec/once.pml
@@ -127,8 +127,8 @@
 }
 
 /* Admission control rejects the work or passes it to the upstream, which may reject
- * it too. It is sent again then, on a new connection, and so cannot receive a copy of
- * that rejection. */
+ * it too. It is sent again on a connection that has not carried it, where no copy of
+ * that rejection arrives. */
 inline admit(o, t) {
 	if
 	:: STATE(o, t) = REFUSED; answer[t] = NOT_RUN
