depot, ledger: calls of a run that is a retry count as retries where they go

Cause: a run that is a retry makes its calls again. The limit at the service where these go counted only calls that are sent again themselves, so its own retries took all of the limit and the others came on top.

Ruled out: the slack counted in full on each VM, nested calls that are not detected, failovers without a mark.

Nested calls now carry the share of retries among the runs that may have made them, exactly if the upstream names the run, otherwise that of the runs in progress, in a field of the header, since builds before cannot read a call with one more member. The limiter counts the share as a retry, which leaves less to those it may refuse.

Tried and dropped (trial): to mark single nested calls as retries by that share and to limit these.

--- a/depot/header.go
+++ b/depot/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"cuminhollow.example/portage"
@@ -31,6 +32,11 @@
 
 const headerPrefix = "Cuminhollow-"
 
+// headerRepeatShare carries, from one node to another, how much of a nested call counts
+// as made by a retry. It is a field of the header so that nodes of earlier builds read
+// the call.
+const headerRepeatShare = "Cuminhollow-Repeat-Share"
+
 // hopByHopHeaders apply to one connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection",
@@ -72,6 +78,30 @@
 	return names
 }
 
+// addRepeatShare adds the field that tells the owner of a nested call how much of the
+// run that made it counts as a retry, in thousandths.
+func addRepeatShare(c *portage.Call, share int64) {
+	if share > 0 {
+		c.Header = append(slices.Clip(c.Header), portage.Field{Name: headerRepeatShare, Value: strconv.FormatInt(share, 10)})
+	}
+}
+
+// takeRepeatShare removes the field of addRepeatShare and returns its value, 0 if there
+// is none or it is no share.
+func takeRepeatShare(c *portage.Call) int64 {
+	isShare := func(f portage.Field) bool { return f.Name == headerRepeatShare }
+	i := slices.IndexFunc(c.Header, isShare)
+	if i < 0 {
+		return 0
+	}
+	share, err := strconv.ParseInt(c.Header[i].Value, 10, 64)
+	c.Header = slices.DeleteFunc(slices.Clone(c.Header), isShare)
+	if err != nil || share < 0 || share > wholeRepeat {
+		return 0
+	}
+	return share
+}
+
 func addFields(h http.Header, fields []portage.Field) {
 	for _, f := range fields {
 		h.Add(f.Name, f.Value)
--- a/depot/node.go
+++ b/depot/node.go
@@ -174,6 +174,7 @@
 		stop:  stop,
 		sender: &sender{
 			stop:          stop,
+			runs:          runs,
 			decisions:     n.decisions,
 			clock:         n.clock,
 			router:        n.router,
--- a/depot/owner_run.go
+++ b/depot/owner_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cuminhollow.example/booking"
@@ -35,15 +36,16 @@
 	account := ledger.NewAccount(c.Grant)
 	defer o.runs.remove(id)
 	o.runs.add(id, &requestScope{
-		ctx:       ctx,
-		requestID: c.Request,
-		class:     booking.Class(c.Class),
-		group:     c.Group,
-		caller:    c.Caller,
-		deadline:  deadline,
-		account:   account,
+		ctx:         ctx,
+		requestID:   c.Request,
+		class:       booking.Class(c.Class),
+		group:       c.Group,
+		caller:      c.Caller,
+		deadline:    deadline,
+		account:     account,
+		repeatShare: new(atomic.Int64),
 	})
-	res := o.runOnUpstream(ctx, c, id, deadline)
+	res := o.runOnUpstream(ctx, c, id, deadline, repeatShare(c, ac.Nested()))
 	ended := o.clock.Now()
 	o.freeSlot(ended, ac, admissionResult(ctx, res, ended > deadline))
 	o.metrics.recordRun(res.Outcome, ended-now)
@@ -70,22 +72,22 @@
 
 // runOnUpstream sends a call to the upstream. While the upstream rejects the
 // call as retryable, it sends the call again, within the deadline and the rate
-// limit on retries.
-func (o *owner) runOnUpstream(ctx context.Context, c *portage.Call, id string, deadline clock.Millis) RunResult {
+// limit on retries. RepeatShare is how much of the call counts as a retry, in
+// thousandths.
+func (o *owner) runOnUpstream(ctx context.Context, c *portage.Call, id string, deadline clock.Millis, repeatShare int64) RunResult {
 	if c.Repeat {
 		if !o.retryLimiter.AllowRetry(o.clock.Now()) {
 			return RunResult{Outcome: portage.OutcomeNotRun, Reason: reasonNoTriesLeft}
 		}
 	} else {
-		o.retryLimiter.RecordFirst(o.clock.Now())
+		o.retryLimiter.RecordNested(o.clock.Now(), float64(repeatShare)/wholeRepeat)
 	}
 	pause := upstreamRetryDelay
 	reached := false
 	for attempt := 1; ; attempt++ {
 		began := o.clock.Now()
 		run := NewRun(c, id, o.clock, deadline, o.controller.Closed, WithAnswerMemory(o.answerMemory))
-		res := o.upstream.Run(ctx, run)
-		run.release()
+		res := o.attempt(ctx, run, repeatShare)
 		ended := o.clock.Now()
 		reached = reached || res.Reached
 		res.Reached = reached
@@ -95,6 +97,29 @@
 		o.decisions.sentAgain(c, res, attempt, ended-began, pause)
 		clock.Sleep(ctx, pause.Duration())
 		pause = min(2*pause, maxUpstreamRetryDelay)
+		repeatShare = wholeRepeat
+	}
+}
+
+// attempt sends a call to the upstream once. RepeatShare is how much of it counts as a
+// retry, in thousandths.
+func (o *owner) attempt(ctx context.Context, r *Run, repeatShare int64) RunResult {
+	defer r.release()
+	defer o.runs.beginAttempt(r.ID(), repeatShare)()
+	return o.upstream.Run(ctx, r)
+}
+
+// repeatShare takes the share of retries from a call and returns how much of the call
+// counts as a retry, in thousandths.
+func repeatShare(c *portage.Call, nested bool) int64 {
+	share := takeRepeatShare(c)
+	switch {
+	case c.Repeat:
+		return wholeRepeat
+	case nested:
+		return share
+	default:
+		return 0
 	}
 }
 
--- a/depot/run.go
+++ b/depot/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"cuminhollow.example/booking"
 	"cuminhollow.example/clock"
@@ -26,13 +27,50 @@
 	deadline clock.Millis
 	// account holds the retries that the calls of this scope may still use.
 	account *ledger.Account
+	// repeatShare is how much of the run counts as a retry, in thousandths; nil for
+	// an outside caller's request.
+	repeatShare *atomic.Int64
 }
 
+// wholeRepeat is the share of retries of a run that is one, in thousandths.
+const wholeRepeat = 1000
+
 // runTable holds the scopes of the runs in progress on the upstream, by the IDs
 // of the runs, which the upstream sends with its nested calls. It is safe for
 // concurrent use.
 type runTable struct {
 	runs sync.Map
+	// running counts the attempts in progress, and repeated is the sum of their
+	// shares of retries, in thousandths.
+	running, repeated atomic.Int64
+}
+
+// beginAttempt records that an attempt of a run is in progress until end is called.
+// RepeatShare is how much of it counts as a retry, in thousandths.
+func (t *runTable) beginAttempt(id string, repeatShare int64) (end func()) {
+	if s := t.find(id); s != nil {
+		s.repeatShare.Store(repeatShare)
+	}
+	t.running.Add(1)
+	t.repeated.Add(repeatShare)
+	return func() {
+		t.running.Add(-1)
+		t.repeated.Add(-repeatShare)
+	}
+}
+
+// repeatShare returns how much of a nested call counts as made by a retry, in
+// thousandths. If the upstream did not name the run, it is the share of retries among
+// the attempts in progress.
+func (t *runTable) repeatShare(r *requestScope) int64 {
+	if r.repeatShare != nil {
+		return r.repeatShare.Load()
+	}
+	running := t.running.Load()
+	if running <= 0 {
+		return 0
+	}
+	return max(0, min(t.repeated.Load()/running, wholeRepeat))
 }
 
 func (t *runTable) add(id string, r *requestScope) { t.runs.Store(id, r) }
--- a/depot/sender.go
+++ b/depot/sender.go
@@ -27,6 +27,8 @@
 	// controller estimates the overload of the services that the VM's own
 	// upstream calls, from the answers to its nested calls.
 	controller *booking.Controller
+	// runs tells which share of a nested call is made by retries.
+	runs *runTable
 	// stop withdraws calls that wait when a planned stop ends.
 	stop *entryStop
 	// answerGrace is how long after its deadline the answer to a call is still
@@ -43,7 +45,10 @@
 // while that cannot run non-idempotent work twice and the limits on failovers
 // and retries allow it.
 func (s *sender) send(o *outgoingCall) *portage.Answer {
-	o.attempts.SetNested(o.call.Onward || s.isNested(o.call.Kind))
+	if o.call.Onward || s.isNested(o.call.Kind) {
+		o.attempts.SetNested(true)
+		addRepeatShare(&o.call, s.runs.repeatShare(o.scope))
+	}
 	for {
 		a, pick, next := s.attempt(o)
 		o.mayHaveRun = o.mayHaveRun || a.Outcome == portage.OutcomeUnknown
--- a/depot/settings_retry.go
+++ b/depot/settings_retry.go
@@ -23,8 +23,8 @@
 	defaultRetryBase                = 10
 	defaultRetryWindow clock.Millis = 10 * clock.Second
 	// retryMargin is the fraction of the configured limits that is used. Nested
-	// calls of a retried run count as retries too, but cannot be recognised as
-	// such.
+	// calls of a retried run count as retries too, but upstreams that do not name
+	// the run leave only an estimate of their number.
 	retryMargin = 0.9
 )
 
--- a/ledger/repeats.go
+++ b/ledger/repeats.go
@@ -59,10 +59,21 @@
 }
 
 // RecordFirst counts a request that reaches the upstream for the first time.
-func (r *RetryLimiter) RecordFirst(now clock.Millis) {
+func (r *RetryLimiter) RecordFirst(now clock.Millis) { r.RecordNested(now, 0) }
+
+// RecordNested counts a nested call that reaches the upstream for the first time.
+// RepeatShare, from 0 to 1, is the share of retries among the runs that may have made
+// it: the calls of a run that is a retry count as retries. They are not limited, as
+// the work of the run would be lost, but leave fewer retries to AllowRetry.
+func (r *RetryLimiter) RecordNested(now clock.Millis, repeatShare float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.currentSlot(now).first++
+	s := r.currentSlot(now)
+	s.first += 1 - repeatShare
+	s.retries += repeatShare
+	if r.tokens > 0 {
+		r.tokens = max(0, r.tokens-repeatShare)
+	}
 }
 
 // AllowRetry reports whether a retry is allowed now and, if so, counts it.
--- a/ledger/repeats_test.go
+++ b/ledger/repeats_test.go
@@ -131,3 +131,53 @@
 		t.Errorf("with base 4: got %d, want %d or one less", got, want)
 	}
 }
+
+// TestRetryLimiterNested checks that nested calls count as retries by the share of
+// retries among the runs that may have made them: all of them are taken, and retries
+// only get what they leave.
+func TestRetryLimiterNested(t *testing.T) {
+	const base, window = 10, 10 * clock.Second
+	for _, tt := range []struct {
+		nested      int
+		repeatShare float64
+		most        int
+	}{
+		{0, 0, 10},
+		{40, 0, 10},
+		{40, 0.1, 6},
+		{8, 1, 2},
+		{40, 1, 0},
+	} {
+		r := NewRetryLimiter(0, base, window)
+		for range tt.nested {
+			r.RecordNested(0, tt.repeatShare)
+		}
+		got := 0
+		for now := clock.Millis(0); now < window; now += 10 {
+			got += takeAll(r, now)
+		}
+		// The last retry of a window may come right after it.
+		if got > tt.most || got < tt.most-1 {
+			t.Errorf("%d nested calls with share %.1f: got %d retries, want %d or one less", tt.nested, tt.repeatShare, got, tt.most)
+		}
+	}
+}
+
+// TestRetryLimiterNestedShare checks that only the part of nested calls that are no
+// retries raises the number of retries allowed.
+func TestRetryLimiterNestedShare(t *testing.T) {
+	const window = 10 * clock.Second
+	r := NewRetryLimiter(0.2, 0, window)
+	const nested, repeatShare = 1000, 0.1
+	for now := clock.Millis(0); now < window; now += window / nested {
+		r.RecordNested(now, repeatShare)
+	}
+	got := 0
+	for now := window; now < 2*window; now += 10 {
+		got += takeAll(r, now)
+	}
+	// The first window applies all the time, and its retries for half of it.
+	if limit := 0.2 * (1 - repeatShare) * nested; float64(got) > limit || float64(got) < limit-repeatShare*nested {
+		t.Errorf("got %d retries, want at most %.0f and not fewer than %.0f", got, limit, limit-repeatShare*nested)
+	}
+}
