depot: TestQueueOfLeavingUpstream waits until the first call is at the upstream

It failed twice in about 50 runs, "not in time: the waiting calls are answered elsewhere", with no call reported as not answered: all six were answered elsewhere, where five are expected. The controller had started the first call, but it had not been sent when the upstream was listed as leaving, so that it went to the other VM as well, which is right. Shown with a delay of 100 ms before the check: "got 0 runs on the leaving upstream, want 1". The test now waits for that run too before it lists the upstream as leaving; what it checks is the same.

--- a/depot/closed_upstream_test.go
+++ b/depot/closed_upstream_test.go
@@ -58,7 +58,7 @@
 			}
 			waitUntil(t, "the calls wait", func() bool {
 				stats := a.node.owner.controller.Stats()
-				return stats.Running == 1 && stats.Waiting > 0 && stats.Running+stats.Waiting+int(answered.Load()) == calls
+				return a.runs.Load() == 1 && stats.Running == 1 && stats.Waiting > 0 && stats.Running+stats.Waiting+int(answered.Load()) == calls
 			})
 			entry.setRoster(otherVM)
 			if tt.gone {
