depot, platform: the free part of an answer is counted as the memory that it takes

A VM whose servers answer without an end could still hold more than the budget says: 16 KB of each answer needed no reservation, but bytes of a head take up to 16 times their size, so 168 heads up to 43 MB beside the budget of 23 MB.

Traced with the reason in the message, six copies at a time with the race detector: 47 calls were "unreachable" and 31 "expired", since the test cancels after a second, before slow calls had begun; that is allowed. One run of 30 showed the fault itself: 40,031,296 bytes held, at most 35,127,296 allowed.

An answer now takes 64 KB of memory freely, whichever part they are of. What was read ahead with the head is counted as body once the head has ended.

Tests, failing before: depot.TestAnswerReaderFreeMemory (262,144 bytes without a reservation, at most 65,536), TestAnswerReaderAhead; two mutations.

--- a/depot/answer_reader.go
+++ b/depot/answer_reader.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// freeAnswerBytes is the part of an answer that needs no reserved memory, in bytes.
-	// Ordinary answers are shorter, and do not fail because others are endless.
-	freeAnswerBytes = 16 << 10
+	// freeAnswerMemory is the memory that an answer may take without reserving it, in
+	// bytes. Ordinary answers need less, and do not fail because others are endless.
+	freeAnswerMemory = 64 << 10
 	// AnswerBodyCopies is the memory that a byte of an answer's body takes at most while
 	// it is read: the buffer that holds it doubles as it grows.
 	AnswerBodyCopies = 3
@@ -30,8 +30,8 @@
 	run    *Run
 	// copies is the memory that a byte takes.
 	copies int
-	// read is the number of bytes read so far.
-	read int
+	// taken is the memory that the bytes read so far take.
+	taken int
 	// exceeded is set once there was no memory.
 	exceeded bool
 }
@@ -42,15 +42,19 @@
 	return &AnswerReader{source: source, run: run, copies: copies}
 }
 
-// SetCopies changes the memory that each further byte takes.
-func (a *AnswerReader) SetCopies(copies int) { a.copies = copies }
+// SetCopies changes the memory that each further byte takes, and each of those that were
+// read ahead. What was reserved for these stays so.
+func (a *AnswerReader) SetCopies(copies, ahead int) {
+	a.taken += min(ahead, a.taken/a.copies) * (copies - a.copies)
+	a.copies = copies
+}
 
 // Read implements io.Reader.
 func (a *AnswerReader) Read(p []byte) (int, error) {
 	n, err := a.source.Read(p)
-	before := max(a.read, freeAnswerBytes)
-	a.read += n
-	if more := a.read - before; more > 0 && !a.run.Reserve(more*a.copies) {
+	before := max(a.taken, freeAnswerMemory)
+	a.taken += n * a.copies
+	if more := a.taken - before; more > 0 && !a.run.Reserve(more) {
 		a.exceeded = true
 		return n, ErrAnswerMemory
 	}
