--- a/depot/answer_reader_test.go
+++ b/depot/answer_reader_test.go
@@ -37,7 +37,7 @@
 			if errors.Is(err, ErrAnswerMemory) {
 				break
 			}
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				t.Fatalf("%s: got all bytes, want %v", tt.name, ErrAnswerMemory)
 			}
 			copies := AnswerBodyCopies
