--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -51,9 +51,13 @@
 	return out
 }
 
-// load sends safe requests from a machine's clients to its node, one every gap, until
-// ctx ends.
-func load(ctx context.Context, m *machine, l *log, host, path string, deadline, gap time.Duration) {
+// host is that of all routes.
+const host = "desk.example"
+
+// load sends requests from a machine's clients to its node, one every gap, until ctx
+// ends. Requests that may not be repeated have to be POST, which net/http never sends
+// again once it was written.
+func load(ctx context.Context, m *machine, l *log, method, path string, deadline, gap time.Duration) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 8 * time.Second, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	ticker := time.NewTicker(gap)
@@ -68,15 +72,15 @@
 		}
 		s := &sent{id: fmt.Sprintf("%s%s-%06d", m.name, strings.ReplaceAll(path, "/", "-"), n), from: m.name, path: path, at: time.Now()}
 		l.add(s)
-		wait.Go(func() { ask(client, l, s, "http://"+m.at(portOutbound)+path, host, deadline) })
+		wait.Go(func() { ask(client, l, s, method, "http://"+m.at(portOutbound)+path, deadline) })
 	}
 }
 
 // ask sends one request and records its answer.
-func ask(client *http.Client, l *log, s *sent, url, host string, deadline time.Duration) {
+func ask(client *http.Client, l *log, s *sent, method, url string, deadline time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	q, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -14,7 +15,7 @@
 // What clients send is judged from a time after all machines are in touch again, for
 // judged. The clients of each machine send a request every gap.
 func drainCase(f *fleet, l *log, trouble bool, gap, hangFor, after, judged time.Duration) (broken bool, err error) {
-	f.configure("desk")
+	f.configure("desk", "safe")
 	if err := f.start(); err != nil {
 		return false, err
 	}
@@ -22,7 +23,7 @@
 	defer stop()
 	var wait sync.WaitGroup
 	for _, m := range f.machines {
-		wait.Go(func() { load(ctx, m, l, "desk.example", "/desk/1", 1500*time.Millisecond, gap) })
+		wait.Go(func() { load(ctx, m, l, http.MethodGet, "/desk/1", 1500*time.Millisecond, gap) })
 	}
 	f.note(time.Now(), "all nodes are ready; the clients begin")
 	time.Sleep(6 * time.Second)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -31,9 +31,9 @@
 )
 
 // newFleet makes a store and count machines on free loopback addresses, alternately in the
-// zones; the services take turns in the same way every two machines. The servers listen;
-// the nodes are not started.
-func newFleet(root string, zones map[string]string, services []string, count int, work time.Duration) (*fleet, error) {
+// zones; the services take turns in the same way every two machines. Serve starts the server of a
+// machine; the nodes are not started.
+func newFleet(root string, zones map[string]string, services []string, count int, serve func(*machine, net.Listener)) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -60,7 +60,7 @@
 		if err != nil {
 			return nil, err
 		}
-		m.server = newAppServer(m.serverID, service, work, l)
+		serve(m, l)
 		f.machines = append(f.machines, m)
 		f.register(m)
 	}
@@ -98,12 +98,12 @@
 	})
 }
 
-// configure writes a configuration with one safe route to the service.
-func (f *fleet) configure(service string) {
+// configure writes a configuration with one route of a kind to the service.
+func (f *fleet) configure(service, kind string) {
 	f.store.put("op/config", map[string]any{
 		"version": "00000007",
 		"routes": map[string]any{"r-desk": map[string]any{
-			"host": "desk.example", "pathPrefix": "/desk/", "kind": "safe", "timeoutS": 1.5,
+			"host": host, "pathPrefix": "/desk/", "kind": kind, "timeoutS": 1.5,
 			"targetLatencyS": 1.5, "priority": 1, "service": service, "maxAttempts": 2,
 		}},
 		"services": map[string]any{service: map[string]any{
@@ -151,7 +151,7 @@
 }
 
 // write writes the record: the notes, then what was sent, answered and run.
-func (f *fleet) write(path string, l *log) error {
+func (f *fleet) write(path string, l *log, runs []arrival) error {
 	out, err := os.Create(filepath.Clean(path))
 	if err != nil {
 		return err
@@ -169,9 +169,10 @@
 		fmt.Fprintf(w, "%s  %s  %s  %d  %s%s\n", f.since(s.at), s.id, ended, s.status, s.signature, s.fail)
 	}
 	fmt.Fprintln(w, "\nruns: time, id, server")
-	var runs []arrival
 	for _, m := range f.machines {
-		runs = append(runs, m.server.seen()...)
+		if m.server != nil {
+			runs = append(runs, m.server.seen()...)
+		}
 	}
 	sort.Slice(runs, func(i, j int) bool { return runs[i].at.Before(runs[j].at) })
 	for _, a := range runs {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,7 +6,9 @@
 import (
 	"flag"
 	"fmt"
+	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,13 +30,25 @@
 	zones := map[string]string{"bhuj": "kutch", "anjar": "kutch"}
 	l := newLog()
 	count, services := 12, []string{"desk"}
+	serve := func(m *machine, l net.Listener) {
+		m.server = newAppServer(m.serverID, m.service, 20*time.Millisecond, l)
+	}
+	var refusers []*refuser
 	switch *name {
+	case "late-refusal":
+		count = 6
+		busy, copying := new(atomic.Bool), new(atomic.Bool)
+		serve = func(m *machine, l net.Listener) {
+			s := &refuser{id: m.serverID, faulty: len(refusers) < 3, work: 40 * time.Millisecond, busy: busy, copying: copying}
+			refusers = append(refusers, s)
+			go s.serve(l)
+		}
 	case "stays-listed":
 		count = 72
 	case "config-storm":
 		count, services = 8, []string{"desk", "office"}
 	}
-	f, err := newFleet(*root, zones, services, count, 20*time.Millisecond)
+	f, err := newFleet(*root, zones, services, count, serve)
 	if err != nil {
 		return fail(err)
 	}
@@ -46,6 +60,8 @@
 		isBroken, err = drainCase(f, l, trouble, 25*time.Millisecond, 2500*time.Millisecond, 0, 4*time.Second)
 	case "stays-listed":
 		isBroken, err = drainCase(f, l, trouble, 50*time.Millisecond, 2500*time.Millisecond, 3*time.Second, 10*time.Second)
+	case "late-refusal":
+		isBroken, err = refusalCase(f, l, refusers, trouble, 95*time.Second)
 	case "config-storm":
 		isBroken, err = stormCase(f, l, trouble, 25, 80*time.Millisecond, 2500*time.Millisecond, 8*time.Second)
 	default:
@@ -54,7 +70,11 @@
 	if err != nil {
 		return fail(err)
 	}
-	if err := f.write(*record, l); err != nil {
+	var runs []arrival
+	for _, s := range refusers {
+		runs = append(runs, s.runs...)
+	}
+	if err := f.write(*record, l, runs); err != nil {
 		return fail(err)
 	}
 	if isBroken {
--- a/review/standin-2/storm.go
+++ b/review/standin-2/storm.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -76,7 +77,7 @@
 	var wait sync.WaitGroup
 	for _, m := range f.machines {
 		for _, path := range []string{"/new/1", "/desk/1"} {
-			wait.Go(func() { load(ctx, m, l, "desk.example", path, 1500*time.Millisecond, 100*time.Millisecond) })
+			wait.Go(func() { load(ctx, m, l, http.MethodGet, path, 1500*time.Millisecond, 100*time.Millisecond) })
 		}
 	}
 	wait.Wait()
