--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -51,9 +51,16 @@
 	return out
 }
 
+func newSent(m *machine, path string, n int) *sent {
+	return &sent{id: fmt.Sprintf("%s%s-%06d", m.name, strings.ReplaceAll(path, "/", "-"), n), from: m.name, path: path, at: time.Now()}
+}
+
 // host is that of all routes.
 const host = "desk.example"
 
+// routeTimeout is the timeoutS of the route of fleet.configure.
+const routeTimeout = 1500 * time.Millisecond
+
 // load sends requests from a machine's clients to its node, one every gap, until ctx
 // ends. Requests that may not be repeated have to be POST, which net/http never sends
 // again once it was written.
@@ -70,7 +77,7 @@
 			return
 		case <-ticker.C:
 		}
-		s := &sent{id: fmt.Sprintf("%s%s-%06d", m.name, strings.ReplaceAll(path, "/", "-"), n), from: m.name, path: path, at: time.Now()}
+		s := newSent(m, path, n)
 		l.add(s)
 		wait.Go(func() { ask(client, l, s, method, "http://"+m.at(portOutbound)+path, deadline) })
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -45,6 +45,8 @@
 		}
 	case "stays-listed":
 		count = 72
+	case "crowd":
+		count = 4
 	case "config-storm":
 		count, services = 8, []string{"desk", "office"}
 	}
@@ -62,6 +64,12 @@
 		isBroken, err = drainCase(f, l, trouble, 50*time.Millisecond, 2500*time.Millisecond, 3*time.Second, 10*time.Second)
 	case "late-refusal":
 		isBroken, err = refusalCase(f, l, refusers, trouble, 95*time.Second)
+	case "crowd":
+		clients := 2500
+		if !trouble {
+			clients = 1000
+		}
+		isBroken, err = crowdCase(f, l, clients, 5800*time.Millisecond)
 	case "config-storm":
 		isBroken, err = stormCase(f, l, trouble, 25, 80*time.Millisecond, 2500*time.Millisecond, 8*time.Second)
 	default:
