--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -87,6 +88,7 @@
 	m.cmd.Dir = root
 	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "CUMINHOLLOW_NODE_FILE=" + file}
 	m.cmd.Stdout, m.cmd.Stderr = log, log
+	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return m.cmd.Start()
 }
 
