--- a/caller/caller.go
+++ b/caller/caller.go
@@ -7,12 +7,14 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"cuminhollow.example/clock"
+	"cuminhollow.example/receipt"
 )
 
 // The headers and the ticket path of the nodes' HTTP interface.
@@ -56,8 +58,11 @@
 // of nodes, nearest first. At least one is needed.
 func New(entries []string, opts ...Option) *Caller {
 	c := &Caller{
-		entries:     entries,
-		client:      &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxResponseHeader}},
+		entries: entries,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:            receipt.Dial(new(net.Dialer)),
+			MaxResponseHeaderBytes: maxResponseHeader,
+		}},
 		takeTickets: true,
 	}
 	for _, o := range opts {
@@ -199,14 +204,22 @@
 	body   []byte
 }
 
-// roundTrip sends one HTTP request. The body cannot be rewound, which keeps the
-// transport from sending the request again by itself. roundTrip reports whether
-// the request got a connection: without one, no part of it was sent, whatever
-// the error is.
+// errNoLength reports an answer without a length on a connection that does not tell an
+// orderly end from a reset.
+var errNoLength = errors.New("the answer has no length")
+
+// roundTrip sends one HTTP request and reads its whole answer. The body cannot be
+// rewound, which keeps the transport from sending the request again by itself.
+// roundTrip reports whether the request got a connection: without one, no part of it
+// was sent, whatever the error is.
 func (c *Caller) roundTrip(ctx context.Context, entry, method, path string, h http.Header, body []byte) (response, bool, error) {
-	var sent atomic.Bool
+	var sent, showsEnd atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			sent.Store(true)
+			_, ok := i.Conn.(*receipt.Conn)
+			showsEnd.Store(ok)
+		},
 	})
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, nil)
 	if err != nil {
@@ -223,6 +236,9 @@
 		return response{}, sent.Load(), err
 	}
 	defer func() { _ = res.Body.Close() }()
+	if !receipt.HasLength(res) && !showsEnd.Load() {
+		return response{}, true, errNoLength
+	}
 	content, err := io.ReadAll(res.Body)
 	return response{status: res.StatusCode, header: res.Header, body: content}, true, err
 }
--- a/caller/options.go
+++ b/caller/options.go
@@ -6,7 +6,8 @@
 type Option func(*Caller)
 
 // WithClient sets the HTTP client. The default has its own connection pool and
-// no timeout other than that of the context.
+// no timeout other than that of the context. With another one, an answer without
+// a length counts as lost unless its connection is of type *receipt.Conn.
 func WithClient(client *http.Client) Option {
 	return func(c *Caller) { c.client = client }
 }
