receipt, platform, depot, caller: a status that no answer has is not passed on

Callers got 200 and a body where the upstream had answered with status 000: on the product's own interface, from nodes and through the caller library. On the users' platform 000 was passed over like an interim answer, so that what followed it, its own body included, could pass for the answer. Statuses of 600 and more, 101, and answers that call themselves HTTP/2.0 were passed on by all; of the latter, a part of a body without a length was taken for the whole.

Cause: net/http's parser takes three characters that are a number without a minus for a status and any version of one digit each, and a server that is told status 0 sends 200. The platform's reader took all statuses below 200 for interim ones, and depot took version 2 for a body with an end of its own.

A node that sent an interim status for the answer left the caller waiting for 121 s.

Also found: the answer to a query for a ticket's outcome was passed on without a look at the checksum of its body.

Why this fix: the readers of answers, those between nodes included, share one check of what an answer may say, so that nothing depends on what a parser lets pass. What breaks it is neither an answer nor a refusal; its outcome is unknown. Versions 1.0 and 1.1 stay accepted (a row of TestRunAnswers, which passed before). The raw answers of TestUpstreamFaults moved to a function word for word.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -107,3 +107,26 @@
 		}
 	}
 }
+
+// TestBrokenAnswers has a node whose answer is not well-formed. It must not be returned,
+// neither as an answer nor as a refusal.
+func TestBrokenAnswers(t *testing.T) {
+	const rest = "Content-Length: 5\r\n\r\nhello"
+	whole := answeredHead + rest
+	for name, answer := range map[string]string{
+		"status 000":          strings.Replace(whole, "200", "000", 1),
+		"status 099":          strings.Replace(whole, "200", "099", 1),
+		"status 600":          strings.Replace(whole, "200", "600", 1),
+		"other protocol":      strings.Replace(whole, "200", "101", 1),
+		"version 2":           strings.Replace(whole, "HTTP/1.1", "HTTP/2.0", 1),
+		"status 000, not run": "HTTP/1.1 000 X\r\n" + headerOutcome + ": " + outcomeNotRun + "\r\n" + rest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, err := doWork(t, rawNode(t, answer, drain), 1)
+			var e *Error
+			if !errors.As(err, &e) || e.Kind != KindUnknown {
+				t.Errorf("got %+v and %v, want an unknown outcome", a, err)
+			}
+		})
+	}
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -236,6 +236,9 @@
 		return response{}, sent.Load(), err
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := receipt.Check(res); err != nil {
+		return response{}, true, err
+	}
 	if !receipt.HasLength(res) && !showsEnd.Load() {
 		return response{}, true, errNoLength
 	}
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -11,6 +11,7 @@
 	"cuminhollow.example/clock"
 	"cuminhollow.example/dispatch"
 	"cuminhollow.example/portage"
+	"cuminhollow.example/receipt"
 )
 
 const (
@@ -172,7 +173,7 @@
 		return nil, true, err
 	}
 	a, ok := r.(*portage.Answer)
-	if !ok || a.Outcome == portage.OutcomeAnswered && portage.Checksum(a.Body) != a.Sum {
+	if !ok || !isIntact(a) {
 		return nil, true, &portage.Error{Op: "check outcome", Kind: portage.KindFrame}
 	}
 	return a, true, nil
@@ -217,11 +218,17 @@
 	return e.Kind
 }
 
-// verifyAnswer checks that r answers the call and that its body is intact.
+// verifyAnswer checks that r answers the call and is intact.
 func verifyAnswer(c *portage.Call, r portage.Response) (*portage.Answer, error) {
 	a, ok := r.(*portage.Answer)
-	if !ok || a.Request != c.Request || portage.Checksum(a.Body) != a.Sum && a.Outcome == portage.OutcomeAnswered {
+	if !ok || a.Request != c.Request || !isIntact(a) {
 		return nil, &portage.Error{Op: "check answer", Kind: portage.KindFrame}
 	}
 	return a, nil
 }
+
+// isIntact reports whether an upstream's answer can be passed on. A node of an earlier
+// build may take a broken one for an answer.
+func isIntact(a *portage.Answer) bool {
+	return a.Outcome != portage.OutcomeAnswered || receipt.IsFinal(a.Status) && portage.Checksum(a.Body) == a.Sum
+}
--- a/depot/node_test.go
+++ b/depot/node_test.go
@@ -116,25 +116,15 @@
 // is reported as unknown, so that a caller never takes a truncated answer for a
 // complete one.
 func TestUpstreamFaults(t *testing.T) {
-	hijack := func(text string) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
-			raw, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return
-			}
-			_, _ = raw.Write([]byte(text))
-			_ = raw.Close()
-		}
-	}
 	tests := []struct {
 		name     string
 		upstream http.Handler
 		outcome  string
 	}{
-		{"cut short", hijack("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"), "unknown"},
-		{"cut short in chunks", hijack("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\npa"), "unknown"},
-		{"without a length", hijack("HTTP/1.1 200 OK\r\n\r\nperhaps whole"), "unknown"},
-		{"nothing", hijack(""), "unknown"},
+		{"cut short", sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"), "unknown"},
+		{"cut short in chunks", sendRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\npa"), "unknown"},
+		{"without a length", sendRaw("HTTP/1.1 200 OK\r\n\r\nperhaps whole"), "unknown"},
+		{"nothing", sendRaw(""), "unknown"},
 		{"says not run", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(HeaderOutcome, "not-run")
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/depot/platform.go
+++ b/depot/platform.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/time/rate"
 
+	"cuminhollow.example/receipt"
 	"cuminhollow.example/record"
 )
 
@@ -181,6 +182,9 @@
 		return nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := receipt.Check(res); err != nil {
+		return nil, err
+	}
 	if res.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("get %q: unexpected status %d", url, res.StatusCode)
 	}
--- a/depot/ticket.go
+++ b/depot/ticket.go
@@ -140,7 +140,7 @@
 		return unknownAnswer(reasonAnswerLost)
 	}
 	a, ok := r.(*portage.Answer)
-	if !ok {
+	if !ok || !isIntact(a) {
 		return unknownAnswer(reasonDamaged)
 	}
 	return a
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cuminhollow.example/portage"
+	"cuminhollow.example/receipt"
 )
 
 // upstreamDialTimeout limits the time to open a connection to the upstream.
@@ -128,7 +129,7 @@
 		return transportFailure(connected.Load())
 	}
 	defer func() { _ = res.Body.Close() }()
-	if !u.isOwnResponse(res, r.ID(), reused.Load()) {
+	if receipt.Check(res) != nil || !u.isOwnResponse(res, r.ID(), reused.Load()) {
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonDamaged}
 	}
 	return readResponse(res, r)
@@ -163,7 +164,7 @@
 	switch {
 	case errors.Is(err, ErrAnswerMemory):
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonMemory}
-	case err != nil, !isDelimited(res):
+	case err != nil, !receipt.HasLength(res):
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonAnswerLost}
 	case len(body) > portage.MaxBody:
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonBodyTooLarge}
@@ -179,12 +180,6 @@
 	}
 }
 
-// isDelimited reports whether the response marks the end of its body. Without
-// that mark, a truncated response looks complete.
-func isDelimited(res *http.Response) bool {
-	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.ProtoMajor > 1
-}
-
 // newRequest returns the HTTP request for a call. Its body cannot be rewound, so
 // the transport never sends it a second time on its own.
 func (u *httpUpstream) newRequest(ctx context.Context, c *portage.Call) (*http.Request, error) {
--- a/receipt/doc.go
+++ b/receipt/doc.go
@@ -2,5 +2,5 @@
 //
 // Use a Conn for connections on which answers are read while requests are written. A
 // body without a length ends with its connection, and without a Conn one that is cut
-// off by a reset can look complete.
+// off by a reset can look complete. Check what net/http's parser returns with Check.
 package receipt
--- a/receipt/error.go
+++ b/receipt/error.go
@@ -7,6 +7,8 @@
 const (
 	// KindCut marks an answer whose connection broke before its end.
 	KindCut ErrorKind = iota + 1
+	// KindMalformed marks an answer that breaks the protocol.
+	KindMalformed
 )
 
 // Error reports that an answer is broken.
