receipt, platform, depot, caller: an answer with a blank in the name of a field is not passed on

Callers got 200 with the server's signature and a part of a body where a line such as "Content-Length : 9" hid the length, or the chunks with their sizes where it hid the encoding.

Cause: net/http's parser keeps a name with blanks as it is, joins a line that begins with a blank to the one before it, and drops Transfer-Encoding in version 1.0. The framing that the line gave is then not seen, and a body without a length ends with its connection.

Control bytes in names or values, empty names and lines without a colon were refused by the parser already; they keep their rows.

Ruled out: that the broken line itself reaches a client, since net/http leaves out such names when it writes; only answers that caller returns held it.

Why this fix: names are looked at in the one check that all readers share, for interim answers and trailers too. No head that was accepted before and is sound is refused.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -114,12 +114,17 @@
 	const rest = "Content-Length: 5\r\n\r\nhello"
 	whole := answeredHead + rest
 	for name, answer := range map[string]string{
-		"status 000":          strings.Replace(whole, "200", "000", 1),
-		"status 099":          strings.Replace(whole, "200", "099", 1),
-		"status 600":          strings.Replace(whole, "200", "600", 1),
-		"other protocol":      strings.Replace(whole, "200", "101", 1),
-		"version 2":           strings.Replace(whole, "HTTP/1.1", "HTTP/2.0", 1),
-		"status 000, not run": "HTTP/1.1 000 X\r\n" + headerOutcome + ": " + outcomeNotRun + "\r\n" + rest,
+		"status 000":              strings.Replace(whole, "200", "000", 1),
+		"status 099":              strings.Replace(whole, "200", "099", 1),
+		"status 600":              strings.Replace(whole, "200", "600", 1),
+		"other protocol":          strings.Replace(whole, "200", "101", 1),
+		"version 2":               strings.Replace(whole, "HTTP/1.1", "HTTP/2.0", 1),
+		"status 000, not run":     "HTTP/1.1 000 X\r\n" + headerOutcome + ": " + outcomeNotRun + "\r\n" + rest,
+		"blank in a name":         answeredHead + "X Y: z\r\n" + rest,
+		"blank after the length":  answeredHead + "Content-Length : 9\r\n\r\na part",
+		"blank in a trailer":      answeredHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX Y: z\r\n\r\n",
+		"blank in interim answer": "HTTP/1.1 103 Early\r\nX Y: z\r\n\r\n" + whole,
+		"control byte in a name":  answeredHead + "X\x01: z\r\n" + rest,
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, err := doWork(t, rawNode(t, answer, drain), 1)
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -220,6 +220,7 @@
 			_, ok := i.Conn.(*receipt.Conn)
 			showsEnd.Store(ok)
 		},
+		Got1xxResponse: receipt.CheckInterim,
 	})
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, nil)
 	if err != nil {
@@ -243,6 +244,9 @@
 		return response{}, true, errNoLength
 	}
 	content, err := io.ReadAll(res.Body)
+	if err == nil {
+		err = receipt.CheckTrailer(res)
+	}
 	return response{status: res.StatusCode, header: res.Header, body: content}, true, err
 }
 
--- a/depot/attempt.go
+++ b/depot/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"cuminhollow.example/booking"
@@ -230,5 +231,9 @@
 // isIntact reports whether an upstream's answer can be passed on. A node of an earlier
 // build may take a broken one for an answer.
 func isIntact(a *portage.Answer) bool {
-	return a.Outcome != portage.OutcomeAnswered || receipt.IsFinal(a.Status) && portage.Checksum(a.Body) == a.Sum
+	if a.Outcome != portage.OutcomeAnswered {
+		return true
+	}
+	broken := slices.ContainsFunc(a.Header, func(f portage.Field) bool { return !receipt.IsName(f.Name) })
+	return !broken && receipt.IsFinal(a.Status) && portage.Checksum(a.Body) == a.Sum
 }
--- a/depot/broken_answer_test.go
+++ b/depot/broken_answer_test.go
@@ -78,8 +78,9 @@
 // well-formed.
 func TestBrokenAnswersAtCallers(t *testing.T) {
 	for name, answer := range map[string]string{
-		"status 000":     answerText("000"),
-		"other protocol": answerText("101"),
+		"status 000":      answerText("000"),
+		"other protocol":  answerText("101"),
+		"blank in a name": answerText("200", "X Y: z"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			cluster := startCluster(t, sendRaw(answer))
@@ -109,6 +110,7 @@
 		{"sound", RunResult{Status: http.StatusOK}, "answered"},
 		{"status 000", RunResult{}, "unknown"},
 		{"status 600", RunResult{Status: 600}, "unknown"},
+		{"blank in a name", RunResult{Status: http.StatusOK, Header: []portage.Field{{Name: "X Y", Value: "z"}}}, "unknown"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			tt.result.Outcome, tt.result.Reached, tt.result.Body = portage.OutcomeAnswered, true, []byte("hello")
@@ -144,3 +146,31 @@
 		t.Run(start, func(t *testing.T) { checkPlatformAnswer(t, sound, start) })
 	}
 }
+
+// TestBrokenFields has answers with lines in their heads that are no header fields.
+func TestBrokenFields(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	whole := answerText("200")
+	checkBroken(t, []brokenAnswer{
+		{"blank in a name", answerText("200", "X Y: z")},
+		{"blank after a name", answerText("200", "X : z")},
+		{"tab in a name", answerText("200", "X\tY: z")},
+		{"control byte in a name", answerText("200", "X\x01: z")},
+		{"control byte in a value", answerText("200", "X: \x01")},
+		{"empty name", answerText("200", ": z")},
+		{"blank after the name of the length", head + "Content-Length : 9\r\n\r\na part"},
+		{"blank before the name of the length", head + "X: y\r\n Content-Length: 9\r\n\r\na part"},
+		{"blank after the name of the encoding", head + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+		{"blank after the name of the encoding, with a length", answerText("200", "Transfer-Encoding : chunked")},
+		{"blank in a name of a trailer", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX Y: z\r\n\r\n"},
+		{"blank in a name of an interim answer", "HTTP/1.1 103 Early\r\nX Y: z\r\n\r\n" + whole},
+		{"blank in a name of a refusal", answerText("503", "X Y: z", HeaderOutcome+": not-run")},
+	})
+}
+
+// TestBrokenFieldsOfPlatform has lines that are no header fields.
+func TestBrokenFieldsOfPlatform(t *testing.T) {
+	for line, sound := range map[string]bool{"X: y": true, "X Y: z": false, "X\x01: z": false} {
+		t.Run(line, func(t *testing.T) { checkPlatformAnswer(t, sound, "HTTP/1.1 200 OK", line) })
+	}
+}
--- a/depot/upstream.go
+++ b/depot/upstream.go
@@ -109,6 +109,7 @@
 			connected.Store(true)
 			reused.Store(i.Reused)
 		},
+		Got1xxResponse: receipt.CheckInterim,
 	}
 	c := r.Call()
 	q, err := u.newRequest(httptrace.WithClientTrace(ctx, trace), c)
@@ -168,6 +169,8 @@
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonAnswerLost}
 	case len(body) > portage.MaxBody:
 		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonBodyTooLarge}
+	case receipt.CheckTrailer(res) != nil:
+		return RunResult{Outcome: portage.OutcomeUnknown, Reached: true, Reason: reasonDamaged}
 	case res.Header.Get(HeaderOutcome) == portage.OutcomeNotRun.String():
 		return RunResult{Outcome: portage.OutcomeNotRun, Reached: true, Reason: reasonOverload}
 	}
