--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -135,3 +135,16 @@
 		})
 	}
 }
+
+// TestAnswerCutAnywhere has a node that stops anywhere in its answer and closes the
+// connection.
+func TestAnswerCutAnywhere(t *testing.T) {
+	answer := answeredHead + "Content-Length: 5\r\n\r\nhello"
+	for end := range answer {
+		a, err := doWork(t, rawNode(t, answer[:end], drain), 1)
+		var e *Error
+		if !errors.As(err, &e) || e.Kind != KindUnknown {
+			t.Errorf("cut after %q: got %+v and %v, want an unknown outcome", answer[:end], a, err)
+		}
+	}
+}
