caller: a reservation without a ticket is not used

caller.Reserve returned an empty ticket for a 200 without one, and Do then sent work that may run once without a ticket, whose outcome could not be asked for later. No caller was seen to suffer.

Cause: a status of 200 was taken for a sound answer. Evidence: TestNoTicket got "" and no error on the code before. Now the caller asks the next node: an answer that does not hold what was asked for says nothing.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -148,3 +148,14 @@
 		}
 	}
 }
+
+// TestNoTicket has a node that answers a reservation without a ticket.
+func TestNoTicket(t *testing.T) {
+	bad := rawNode(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", drain)
+	good := rawNode(t, "HTTP/1.1 200 OK\r\n"+headerTicket+": vm/1/1/1\r\nContent-Length: 0\r\n\r\n", drain)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if got, err := New([]string{bad, good}).Reserve(ctx, "seal"); got != "vm/1/1/1" || err != nil {
+		t.Errorf("got %q and %v, want the ticket of the second node", got, err)
+	}
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -125,8 +125,10 @@
 		switch {
 		case err != nil:
 			failure.Err = err
-		case r.status == http.StatusOK:
+		case r.status == http.StatusOK && r.header.Get(headerTicket) != "":
 			return r.header.Get(headerTicket), nil
+		case r.status == http.StatusOK:
+			failure.Err = errNoTicket
 		default:
 			failure.Reason = reasonOf(r.body)
 			return "", failure
@@ -204,6 +206,9 @@
 	body   []byte
 }
 
+// errNoTicket reports an answer to a reservation that has no ticket.
+var errNoTicket = errors.New("the answer has no ticket")
+
 // errNoLength reports an answer without a length on a connection that does not tell an
 // orderly end from a reset.
 var errNoLength = errors.New("the answer has no length")
