landing: a request with a blank in the name of a field is refused

A request with "Content-Length : 31" was handled without a body, and its body as a request of its own. No caller was seen to send one.

Evidence: three such requests in TestLimits got 200 on the code before, and 400 with the connection closed now, as from net/http's server.

--- a/landing/request.go
+++ b/landing/request.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"net/http"
 	"strings"
+
+	"cuminhollow.example/receipt"
 )
 
 // Error reports a request that cannot be taken.
@@ -45,9 +47,13 @@
 	return req, nil
 }
 
-// validHeader reports whether no field value contains a control character.
+// validHeader reports whether the names of all fields are names and no value contains
+// a control character.
 func validHeader(h http.Header) bool {
-	for _, values := range h {
+	for name, values := range h {
+		if !receipt.IsName(name) {
+			return false
+		}
 		for _, v := range values {
 			if strings.ContainsFunc(v, isControl) {
 				return false
