--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -33,7 +33,9 @@
 	// polls counts the polls of the platform, and copies the copies made for other
 	// nodes.
 	polls, copies atomic.Int64
-	started       atomic.Bool
+	// lastWait is how long the last poll was to wait for changes, in milliseconds.
+	lastWait atomic.Int64
+	started  atomic.Bool
 	// answersLost is set while the platform's answers do not arrive.
 	answersLost atomic.Bool
 	confirmedAt atomic.Int64
@@ -49,6 +51,7 @@
 // is over.
 func (a *fakeAdapter) Poll(ctx context.Context, s Sink, wait clock.Millis) {
 	a.polls.Add(1)
+	a.lastWait.Store(int64(wait))
 	if !a.started.Swap(true) {
 		a.sink <- s
 	}
--- a/depot/follower.go
+++ b/depot/follower.go
@@ -24,6 +24,10 @@
 	// followerExpiry is how long after the last request of another node this node
 	// counts as followed, in milliseconds.
 	followerExpiry clock.Millis = 3 * clock.Second
+	// doubtWait is how long a poll of the platform waits for changes when a watcher has
+	// not answered or has out of date data, in milliseconds. It is short because the
+	// platform itself may not answer either, which shows only after the wait.
+	doubtWait clock.Millis = 200
 )
 
 // follower keeps the node's routes and VMs up to date. It receives updates from
@@ -52,15 +56,17 @@
 
 // update receives updates once, from a watcher or from the platform.
 func (f *follower) update(ctx context.Context) {
+	wait := f.copyServer.platformWait()
 	if m, ok := f.nextWatcher(); ok {
 		f.switchTo(m.VM)
 		if f.followWatcher(ctx, m) {
 			return
 		}
 		f.watchers.Exclude(f.clock.Now(), m)
+		wait = doubtWait
 	}
 	f.switchTo("")
-	f.source.Poll(ctx, f.sink, f.copyServer.platformWait())
+	f.source.Poll(ctx, f.sink, wait)
 }
 
 // nextWatcher returns the node to follow; false if the platform must be polled.
--- a/depot/follower_test.go
+++ b/depot/follower_test.go
@@ -62,6 +62,9 @@
 	before := follower.polls.Load()
 	watcher.answersLost.Store(true)
 	await(t, "poll of the platform", func() bool { return follower.polls.Load() > before })
+	if got, want := follower.lastWait.Load(), int64(doubtWait); got != want {
+		t.Errorf("got a poll that waits %d ms for changes, want %d: the platform may not answer either", got, want)
+	}
 	await(t, "answer of the platform", func() bool { return follower.Age() < maxFollowAge })
 }
 
