--- a/depot/source.go
+++ b/depot/source.go
@@ -44,7 +44,8 @@
 	// Whole is set if Text holds all data rather than changes only.
 	Whole bool
 	// Text is the encoded data; empty if there is none beyond the requested
-	// revision.
+	// revision, or if it is too large for one message. Adopt tells these apart by
+	// Revision.
 	Text []byte
 }
 
