--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -89,6 +89,8 @@
 
 func (a *fakeAdapter) Revision() uint64 { return uint64(len(a.currentText())) }
 
+func (a *fakeAdapter) CopyAfter() uint64 { return a.Revision() }
+
 func (a *fakeAdapter) Copy(after uint64) Copy {
 	a.copies.Add(1)
 	known := a.currentText()
--- a/depot/copy_fetcher.go
+++ b/depot/copy_fetcher.go
@@ -55,7 +55,7 @@
 		return
 	}
 	known := f.source.Revision()
-	r, err := link.Do(ctx, &portage.CopyRequest{After: known})
+	r, err := link.Do(ctx, &portage.CopyRequest{After: f.source.CopyAfter()})
 	c, ok := r.(*portage.CopyResponse)
 	if err != nil || !ok || len(c.Text) == 0 {
 		return
@@ -64,6 +64,9 @@
 		f.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
 		return
 	}
+	if f.source.Revision() == known {
+		return
+	}
 	f.log.Info().Str("event", "copy-adopted").Str("vm", p.vm).Uint64("from", known).Uint64("to", c.Revision).Send()
 }
 
--- a/depot/follower.go
+++ b/depot/follower.go
@@ -96,8 +96,20 @@
 		f.log.Debug().Str("event", "reader-unreachable").Str("reader", m.VM).Err(err).Send()
 		return false
 	}
+	if after := f.source.CopyAfter(); after > 0 {
+		applied := f.requestCopy(ctx, m, link, after)
+		if applied || f.source.CopyAfter() > 0 {
+			return applied
+		}
+	}
+	return f.requestCopy(ctx, m, link, 0)
+}
+
+// requestCopy requests what a watcher has after a revision and reports whether it was
+// applied and is recent.
+func (f *follower) requestCopy(ctx context.Context, m registry.Member, link *portage.Link, after uint64) bool {
 	began := f.clock.Now()
-	r, err := link.Do(ctx, &portage.CopyRequest{After: f.source.Revision(), WaitMS: int64(followWait)})
+	r, err := link.Do(ctx, &portage.CopyRequest{After: after, WaitMS: int64(followWait)})
 	c, ok := r.(*portage.CopyResponse)
 	if err != nil || !ok {
 		f.log.Debug().Str("event", "reader-silent").Str("reader", m.VM).Err(err).Send()
--- a/depot/source.go
+++ b/depot/source.go
@@ -24,9 +24,12 @@
 	Age() clock.Millis
 	// Unavailable reports whether the platform does not answer at present.
 	Unavailable() bool
-	// Revision returns the revision of the data, which never decreases; 0 before
-	// the first data.
+	// Revision returns the revision of the data; 0 before the first data. It decreases
+	// only if the platform comes back from an older copy of its data.
 	Revision() uint64
+	// CopyAfter returns the revision after which data is to be requested from other
+	// nodes; 0 requests all data.
+	CopyAfter() uint64
 	// Updated returns a channel that is closed when the data is next confirmed,
 	// which lowers Age.
 	Updated() <-chan struct{}
@@ -34,7 +37,8 @@
 	Copy(after uint64) Copy
 	// Adopt applies a copy from the source of another node and passes updates to
 	// the sink. The copy was up to date at asOf on the node's clock; 0 means that
-	// it may be out of date. An error means that the copy was rejected.
+	// it may be out of date. An error means that the copy was rejected. CopyAfter then
+	// returns 0 if only all data of the other node would help.
 	Adopt(s Sink, c Copy, asOf clock.Millis) error
 }
 
@@ -43,9 +47,9 @@
 	Revision uint64
 	// Whole is set if Text holds all data rather than changes only.
 	Whole bool
-	// Text is the encoded data; empty if there is none beyond the requested
-	// revision, or if it is too large for one message. Adopt tells these apart by
-	// Revision.
+	// Text is the encoded data. It may be empty if there is none beyond the requested
+	// revision, and is if that is too large for one message. Adopt tells these apart
+	// by Revision.
 	Text []byte
 }
 
