landing: an expectation of HTTP/1.0 is ignored

A caller of HTTP/1.0 with Expect: 100-continue got an interim response, which that version does not know, and with another expectation 417 (RFC 9110, 10.1.1: to be ignored). Found by requests of odd form to a node as a process. TestExpectOfOldVersion failed before.

--- a/landing/request.go
+++ b/landing/request.go
@@ -41,7 +41,7 @@
 		return nil, &Error{Op: "read request", Status: http.StatusHTTPVersionNotSupported}
 	case req.Host == "" && req.ProtoAtLeast(1, 1), !validHeader(req.Header):
 		return nil, &Error{Op: "read request", Status: http.StatusBadRequest}
-	case req.Header.Get("Expect") != "" && !expectsContinue(req):
+	case req.ProtoAtLeast(1, 1) && req.Header.Get("Expect") != "" && !expectsContinue(req):
 		return nil, &Error{Op: "read request", Status: http.StatusExpectationFailed}
 	}
 	return req, nil
@@ -66,9 +66,9 @@
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
 // expectsContinue reports whether the caller waits for an interim response before
-// it sends the body.
+// it sends the body. Version 1.0 knows no interim response.
 func expectsContinue(req *http.Request) bool {
-	return strings.EqualFold(req.Header.Get("Expect"), "100-continue")
+	return req.ProtoAtLeast(1, 1) && strings.EqualFold(req.Header.Get("Expect"), "100-continue")
 }
 
 // headerHasToken reports whether a list in a header field contains a token.
