soak: store mode plays a store that comes back from an older copy beside real nodes

The store, the servers, the operator and the clients are inside the soak. A seed draws when the store goes away and how, whether it comes back once or twice, with its revision passed or not, with some machines not served, a node killed, storms, and servers that leave before, during and after. Judged from outside: CONFIG, DRAIN, DENIED, LOST, TWICE, EXIT. Time in which the machine did not run the soak is measured, reported, and not counted in bounds.

--- a/soak/main.go
+++ b/soak/main.go
@@ -44,12 +44,18 @@
 }
 
 func command(out io.Writer) *cli.Command {
-	flags := []cli.Flag{
+	folders := []cli.Flag{
 		&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`FOLDER` of the programs"},
 		&cli.StringFlag{Name: "out", Value: filepath.Join("out", "soak"), Usage: "`FOLDER` for reports, and for the logs of seeds that broke a rule"},
+	}
+	many := []cli.Flag{
+		&cli.StringFlag{Name: "seeds", Value: "1..10", Usage: "`FIRST..LAST` seed"},
+		&cli.IntFlag{Name: "parallel", Value: 1, Usage: "`NUMBER` of seeds to play at once"},
+	}
+	flags := append([]cli.Flag{
 		&cli.IntFlag{Name: "nodes", Value: defaultNodes, Usage: "`NUMBER` of nodes of each of the three services"},
 		&cli.DurationFlag{Name: "length", Value: defaultLength, Usage: "`TIME` in which faults begin"},
-	}
+	}, folders...)
 	return &cli.Command{
 		Name:   "soak",
 		Usage:  "play seeded faults against real processes",
@@ -57,10 +63,11 @@
 		Commands: []*cli.Command{
 			{
 				Name: "run", Usage: "play seeds and print a line for each", Action: runSeeds,
-				Flags: append([]cli.Flag{
-					&cli.StringFlag{Name: "seeds", Value: "1..10", Usage: "`FIRST..LAST` seed"},
-					&cli.IntFlag{Name: "parallel", Value: 1, Usage: "`NUMBER` of seeds to play at once"},
-				}, flags...),
+				Flags: append(many, flags...),
+			},
+			{
+				Name: "store", Usage: "play returns of the platform's store from an older copy", Action: runStoreSeeds,
+				Flags: append(many, folders...),
 			},
 			{Name: "replay", Usage: "play one seed again", ArgsUsage: "SEED", Action: replaySeed, Flags: flags},
 			{Name: "schedule", Usage: "print the faults of a seed", ArgsUsage: "SEED", Action: printSchedule, Flags: flags},
@@ -80,7 +87,28 @@
 	return first, last, nil
 }
 
+// seedPlayer plays a seed and returns a line about it.
+type seedPlayer func(ctx context.Context, c *cli.Command, seed uint64) (line string, findings int, err error)
+
 func runSeeds(ctx context.Context, c *cli.Command) error {
+	if err := checkDeployment(c); err != nil {
+		return err
+	}
+	return playRange(ctx, c, playSeed)
+}
+
+func runStoreSeeds(ctx context.Context, c *cli.Command) error { return playRange(ctx, c, storeSeed) }
+
+// checkDeployment checks the flags of the deployment.
+func checkDeployment(c *cli.Command) error {
+	if c.Int("nodes") < 1 || c.Duration("length") <= 0 {
+		return trace.BadParameter("nodes and length must be positive")
+	}
+	return nil
+}
+
+// playRange plays the seeds of the flags.
+func playRange(ctx context.Context, c *cli.Command, player seedPlayer) error {
 	first, last, err := parseSeeds(c.String("seeds"))
 	if err != nil {
 		return err
@@ -93,7 +121,7 @@
 	for seed := first; seed <= last; seed++ {
 		seeds = append(seeds, seed)
 	}
-	return playSeeds(ctx, c, seeds, parallel)
+	return playSeeds(ctx, c, seeds, parallel, player)
 }
 
 func replaySeed(ctx context.Context, c *cli.Command) error {
@@ -101,7 +129,10 @@
 	if err != nil {
 		return err
 	}
-	return playSeeds(ctx, c, []uint64{seed}, 1)
+	if err := checkDeployment(c); err != nil {
+		return err
+	}
+	return playSeeds(ctx, c, []uint64{seed}, 1, playSeed)
 }
 
 func seedArgument(c *cli.Command) (uint64, error) {
@@ -127,10 +158,7 @@
 
 // playSeeds plays seeds and prints a line for each. The exit status is 1 if a rule
 // was broken.
-func playSeeds(ctx context.Context, c *cli.Command, seeds []uint64, parallel int) error {
-	if c.Int("nodes") < 1 || c.Duration("length") <= 0 {
-		return trace.BadParameter("nodes and length must be positive")
-	}
+func playSeeds(ctx context.Context, c *cli.Command, seeds []uint64, parallel int, player seedPlayer) error {
 	next := make(chan uint64)
 	var workers sync.WaitGroup
 	var mu sync.Mutex
@@ -138,7 +166,7 @@
 	for range parallel {
 		workers.Go(func() {
 			for seed := range next {
-				line, findings, err := playSeed(ctx, c, seed)
+				line, findings, err := player(ctx, c, seed)
 				mu.Lock()
 				_, _ = fmt.Fprintln(c.Root().Writer, line)
 				broken += min(findings, 1)
