platform: a node that asks the store itself compares its configuration after a return

Cause: what a node knows at its start is what the store lists, and the store lists an older configuration than the one that is in force at the other nodes. Copies name the version of the sender's configuration, but a node that has its answer from the store requests none.

Servers and the position stay those of the store. Ruled out: to adopt the whole copy, which makes the catalog one that a full read has to confirm; to compare at all times, which would cost each node messages for something that a return alone can cause.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -30,6 +30,8 @@
 	// runs counts the runs that begin.
 	runs         atomic.Int64
 	platformDown atomic.Bool
+	// mayBeOld is set while other nodes may have a newer configuration.
+	mayBeOld atomic.Bool
 	// polls counts the polls of the platform, and copies the copies made for other
 	// nodes.
 	polls, copies atomic.Int64
@@ -100,6 +102,16 @@
 	return Copy{Revision: uint64(len(known)), Whole: true, Text: []byte(known)}
 }
 
+func (a *fakeAdapter) MayBeOld() bool { return a.mayBeOld.Load() }
+
+func (a *fakeAdapter) AdoptConfiguration(s Sink, c Copy) error {
+	if string(c.Text) == "damaged" {
+		return errors.New("damaged")
+	}
+	s.SetConfiguration(record.NewConfiguration(uint64(len(c.Text)), nil, record.Limits{}))
+	return nil
+}
+
 func (a *fakeAdapter) Adopt(s Sink, c Copy, asOf clock.Millis) error {
 	if string(c.Text) == "damaged" {
 		return errors.New("damaged")
--- a/depot/copy_fetcher.go
+++ b/depot/copy_fetcher.go
@@ -20,7 +20,8 @@
 
 // copyFetcher fetches the data of other nodes' sources while the node's own
 // source is unavailable. Without it, a node that starts in that time would have
-// no routes and a running node would miss changes.
+// no routes and a running node would miss changes. It also fetches a newer configuration
+// while the source's may be old.
 type copyFetcher struct {
 	source Source
 	sink   Sink
@@ -36,8 +37,12 @@
 func (f *copyFetcher) run(ctx context.Context) error {
 	return f.guard.loop(ctx, "copy-fetcher", func() {
 		clock.Sleep(ctx, fetchPause/2+rand.N(fetchPause))
-		if f.source.Unavailable() && ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+		case f.source.Unavailable():
 			f.fetch(ctx)
+		case f.source.MayBeOld():
+			f.fetchConfiguration(ctx)
 		}
 	})
 }
@@ -50,18 +55,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	link, err := p.connect(ctx)
-	if err != nil {
-		return
-	}
 	known := f.source.Revision()
-	r, err := link.Do(ctx, &portage.CopyRequest{After: f.source.CopyAfter()})
-	c, ok := r.(*portage.CopyResponse)
-	if err != nil || !ok || len(c.Text) == 0 {
+	c := f.request(ctx, p)
+	if c == nil {
 		return
 	}
 	if err := f.source.Adopt(f.sink, copyOf(c), 0); err != nil {
-		f.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
+		f.logRefused(p, c, err)
 		return
 	}
 	if f.source.Revision() == known {
@@ -70,6 +70,50 @@
 	f.log.Info().Str("event", "copy-adopted").Str("vm", p.vm).Uint64("from", known).Uint64("to", c.Revision).Send()
 }
 
+// fetchConfiguration queries a random known node or a seed, and adopts its configuration if
+// newer. The first answer may only tell that it is.
+func (f *copyFetcher) fetchConfiguration(ctx context.Context) {
+	p := f.choosePeer()
+	if p == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	for range 2 {
+		c := f.request(ctx, p)
+		if c == nil {
+			return
+		}
+		if err := f.source.AdoptConfiguration(f.sink, copyOf(c)); err != nil {
+			f.logRefused(p, c, err)
+			return
+		}
+		if f.source.CopyAfter() > 0 {
+			return
+		}
+	}
+}
+
+// request requests what a node has beyond the source's data; nil if it has nothing or does
+// not answer.
+func (f *copyFetcher) request(ctx context.Context, p *peer) *portage.CopyResponse {
+	link, err := p.connect(ctx)
+	if err != nil {
+		return nil
+	}
+	r, err := link.Do(ctx, &portage.CopyRequest{After: f.source.CopyAfter()})
+	c, ok := r.(*portage.CopyResponse)
+	if err != nil || !ok || len(c.Text) == 0 {
+		return nil
+	}
+	return c
+}
+
+// logRefused logs a copy that the source rejected.
+func (f *copyFetcher) logRefused(p *peer, c *portage.CopyResponse, err error) {
+	f.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
+}
+
 // choosePeer returns the node to query; nil if no VM and no seed is known.
 func (f *copyFetcher) choosePeer() *peer {
 	if v, ok := f.router.AnyVM(); ok {
--- a/depot/copy_fetcher_test.go
+++ b/depot/copy_fetcher_test.go
@@ -81,3 +81,28 @@
 		t.Errorf("got %d requests for a copy, want none", got)
 	}
 }
+
+// TestConfigurationOfListedNode checks that a node whose source may be old adopts the newer
+// configuration of a listed node and nothing else, and no damaged one. The other node is in
+// another region, so that the node does not follow it.
+func TestConfigurationOfListedNode(t *testing.T) {
+	a, _ := startFakeAdapter(t, "u-1", "")
+	b, vm := startFakeAdapter(t, "u-2", "")
+	a.setText("old")
+	b.setText("damaged")
+	a.mayBeOld.Store(true)
+	far := record.NewVM(vm.Name(), "dangs", "ahwa", vm.Address(), record.StateLive).WithUpstream(vm.Upstream(), 8)
+	a.setRoster(far)
+	await(t, "request for a copy", func() bool { return b.copies.Load() > 1 })
+	if got := a.node.Configuration(); got != nil {
+		t.Errorf("after a damaged copy: got version %d, want none", got.Version())
+	}
+	b.setText("newer")
+	await(t, "configuration", func() bool { return a.node.Configuration() != nil })
+	if got, want := a.node.Configuration().Version(), uint64(len("newer")); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+	if got := a.currentText(); got != "old" {
+		t.Errorf("got %q, want the data to stay %q", got, "old")
+	}
+}
--- a/depot/source.go
+++ b/depot/source.go
@@ -40,6 +40,14 @@
 	// it may be out of date. An error means that the copy was rejected. CopyAfter then
 	// returns 0 if only all data of the other node would help.
 	Adopt(s Sink, c Copy, asOf clock.Millis) error
+	// MayBeOld reports whether other nodes may have a newer configuration than the
+	// platform, because that has come back from an older copy of its data, or may have
+	// before the node started.
+	MayBeOld() bool
+	// AdoptConfiguration takes only the configuration of a copy, if it is newer than the
+	// source's, and passes it to the sink. CopyAfter then returns 0 if the copy has none
+	// but tells of a newer one.
+	AdoptConfiguration(s Sink, c Copy) error
 }
 
 // Copy is the data of a Source for another node.
