platform: nodes compare versions of the configuration, not copies of all data

Now a request after depot.AfterVersion is answered by the version alone, and one after depot.AfterConfiguration by the configuration alone. Both are above any revision, so nodes of earlier builds answer that they have nothing. All nodes, followers too, compare in the 3 s after their first read and after each return; copies of data neither name the version nor decide on it any more.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -96,7 +96,7 @@
 func (a *fakeAdapter) Copy(after uint64) Copy {
 	a.copies.Add(1)
 	known := a.currentText()
-	if uint64(len(known)) <= after {
+	if after < AfterConfiguration && uint64(len(known)) <= after {
 		return Copy{Revision: uint64(len(known))}
 	}
 	return Copy{Revision: uint64(len(known)), Whole: true, Text: []byte(known)}
@@ -104,6 +104,8 @@
 
 func (a *fakeAdapter) MayBeOld() bool { return a.mayBeOld.Load() }
 
+func (a *fakeAdapter) Outdated(c Copy) bool { return c.Revision > a.Revision() }
+
 func (a *fakeAdapter) AdoptConfiguration(s Sink, c Copy) error {
 	if string(c.Text) == "damaged" {
 		return errors.New("damaged")
--- a/depot/copy_fetcher.go
+++ b/depot/copy_fetcher.go
@@ -27,7 +27,9 @@
 	sink   Sink
 	router *dispatch.Router
 	peers  *peers
-	// seeds are the addresses of nodes to query while no VM is known.
+	// self is the address of the node for others.
+	self string
+	// seeds are the addresses of nodes to query while no other VM is known.
 	seeds []string
 	log   zerolog.Logger
 	guard *guard
@@ -56,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	known := f.source.Revision()
-	c := f.request(ctx, p)
+	c := f.request(ctx, p, f.source.CopyAfter())
 	if c == nil {
 		return
 	}
@@ -71,7 +73,7 @@
 }
 
 // fetchConfiguration queries a random known node or a seed, and adopts its configuration if
-// newer. The first answer may only tell that it is.
+// newer.
 func (f *copyFetcher) fetchConfiguration(ctx context.Context) {
 	p := f.choosePeer()
 	if p == nil {
@@ -79,29 +81,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	for range 2 {
-		c := f.request(ctx, p)
-		if c == nil {
-			return
-		}
-		if err := f.source.AdoptConfiguration(f.sink, copyOf(c)); err != nil {
-			f.logRefused(p, c, err)
-			return
-		}
-		if f.source.CopyAfter() > 0 {
-			return
-		}
+	c := f.request(ctx, p, AfterVersion)
+	if c == nil || !f.source.Outdated(copyOf(c)) {
+		return
+	}
+	if c = f.request(ctx, p, AfterConfiguration); c == nil {
+		return
+	}
+	if err := f.source.AdoptConfiguration(f.sink, copyOf(c)); err != nil {
+		f.logRefused(p, c, err)
 	}
 }
 
-// request requests what a node has beyond the source's data; nil if it has nothing or does
-// not answer.
-func (f *copyFetcher) request(ctx context.Context, p *peer) *portage.CopyResponse {
+// request requests what a node has after a revision; nil if it has nothing or does not
+// answer.
+func (f *copyFetcher) request(ctx context.Context, p *peer, after uint64) *portage.CopyResponse {
 	link, err := p.connect(ctx)
 	if err != nil {
 		return nil
 	}
-	r, err := link.Do(ctx, &portage.CopyRequest{After: f.source.CopyAfter()})
+	r, err := link.Do(ctx, &portage.CopyRequest{After: after})
 	c, ok := r.(*portage.CopyResponse)
 	if err != nil || !ok || len(c.Text) == 0 {
 		return nil
@@ -114,9 +113,10 @@
 	f.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
 }
 
-// choosePeer returns the node to query; nil if no VM and no seed is known.
+// choosePeer returns the node to query; nil if no VM and no seed is known. It is this node
+// only if no other is known.
 func (f *copyFetcher) choosePeer() *peer {
-	if v, ok := f.router.AnyVM(); ok {
+	if v, ok := f.router.AnyVM(); ok && (v.Address() != f.self || len(f.seeds) == 0) {
 		return f.peers.get(v.Name(), v.Address())
 	}
 	if len(f.seeds) == 0 {
--- a/depot/copy_fetcher_test.go
+++ b/depot/copy_fetcher_test.go
@@ -106,3 +106,15 @@
 		t.Errorf("got %q, want the data to stay %q", got, "old")
 	}
 }
+
+// TestSeedInPlaceOfItself guards against a node that compares its configuration only with
+// itself, because the platform's copy lists no other node.
+func TestSeedInPlaceOfItself(t *testing.T) {
+	b, vm := startFakeAdapter(t, "u-2", "")
+	b.setText("newer")
+	a, self := startFakeAdapter(t, "u-1", "seeds: [\""+vm.Address()+"\"]")
+	a.setText("old")
+	a.setRoster(self)
+	a.mayBeOld.Store(true)
+	await(t, "configuration", func() bool { return a.node.Configuration() != nil })
+}
--- a/depot/serve.go
+++ b/depot/serve.go
@@ -74,7 +74,16 @@
 		guard:      n.guard,
 	}
 	g.Go(func() error { return follow.run(ctx) })
-	c := &copyFetcher{source: n.source, sink: n, router: n.router, peers: n.peers, seeds: n.seeds, log: n.log, guard: n.guard}
+	c := &copyFetcher{
+		source: n.source,
+		sink:   n,
+		router: n.router,
+		peers:  n.peers,
+		self:   n.settings.listen.Peers,
+		seeds:  n.seeds,
+		log:    n.log,
+		guard:  n.guard,
+	}
 	g.Go(func() error { return c.run(ctx) })
 	f := n.frontend(n)
 	servers := []*landing.Server{n.serveCallers(g, l.callers, f, landing.WithLimits(f.Limits), landing.WithConcurrent(f.Concurrent))}
--- a/depot/source.go
+++ b/depot/source.go
@@ -2,12 +2,23 @@
 
 import (
 	"context"
+	"math"
 
 	"cuminhollow.example/clock"
 	"cuminhollow.example/record"
 	"cuminhollow.example/registry"
 )
 
+// Revisions that are higher than any of the data, so that nodes of earlier builds have none
+// for them.
+const (
+	// AfterVersion requests a copy that holds no data but tells the version of the
+	// configuration.
+	AfterVersion uint64 = math.MaxUint64
+	// AfterConfiguration requests a copy that holds only the configuration.
+	AfterConfiguration uint64 = math.MaxUint64 - 1
+)
+
 // Source provides the routes and VMs in place of the records and rosters that
 // nodes exchange. The node decides when it polls the platform and when it
 // receives the data from another node instead. It is safe for concurrent use,
@@ -44,9 +55,11 @@
 	// platform, because that has come back from an older copy of its data, or may have
 	// before the node started.
 	MayBeOld() bool
-	// AdoptConfiguration takes only the configuration of a copy, if it is newer than the
-	// source's, and passes it to the sink. CopyAfter then returns 0 if the copy has none
-	// but tells of a newer one.
+	// Outdated reports whether a copy that was requested after AfterVersion tells of a newer
+	// configuration than the source's.
+	Outdated(c Copy) bool
+	// AdoptConfiguration takes the configuration of a copy that was requested after
+	// AfterConfiguration, if it is newer than the source's, and passes it to the sink.
 	AdoptConfiguration(s Sink, c Copy) error
 }
 
