platform: a node that starts after the return withholds what the others withhold

A server that left in the time that the store lost still got requests of its own VM's node if that node started after the return: the store lists the server until its entry lapses, and the node has nothing else.

The answer to a request after depot.AfterVersion names the entries that its sender withholds, by revision. An entry at the same revision of the same epoch is the same one, so the node withholds it too, for as long as the sender at most; a later one of the server is used at once, and one that is still there after that time as well. A second full read at the same revision does not bring it back. Ruled out: to mark such entries in copies of all data only, since a node that starts reads the store itself first.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -104,7 +104,7 @@
 
 func (a *fakeAdapter) MayBeOld() bool { return a.mayBeOld.Load() }
 
-func (a *fakeAdapter) Outdated(c Copy) bool { return c.Revision > a.Revision() }
+func (a *fakeAdapter) Compare(_ Sink, c Copy) bool { return c.Revision > a.Revision() }
 
 func (a *fakeAdapter) AdoptConfiguration(s Sink, c Copy) error {
 	if string(c.Text) == "damaged" {
--- a/depot/copy_fetcher.go
+++ b/depot/copy_fetcher.go
@@ -20,8 +20,8 @@
 
 // copyFetcher fetches the data of other nodes' sources while the node's own
 // source is unavailable. Without it, a node that starts in that time would have
-// no routes and a running node would miss changes. It also fetches a newer configuration
-// while the source's may be old.
+// no routes and a running node would miss changes. It also compares the source with
+// others while it may be old.
 type copyFetcher struct {
 	source Source
 	sink   Sink
@@ -44,7 +44,7 @@
 		case f.source.Unavailable():
 			f.fetch(ctx)
 		case f.source.MayBeOld():
-			f.fetchConfiguration(ctx)
+			f.compare(ctx)
 		}
 	})
 }
@@ -72,9 +72,9 @@
 	f.log.Info().Str("event", "copy-adopted").Str("vm", p.vm).Uint64("from", known).Uint64("to", c.Revision).Send()
 }
 
-// fetchConfiguration queries a random known node or a seed, and adopts its configuration if
-// newer.
-func (f *copyFetcher) fetchConfiguration(ctx context.Context) {
+// compare compares the source with that of a random known node or a seed, and adopts the
+// configuration from there if newer.
+func (f *copyFetcher) compare(ctx context.Context) {
 	p := f.choosePeer()
 	if p == nil {
 		return
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	c := f.request(ctx, p, AfterVersion)
-	if c == nil || !f.source.Outdated(copyOf(c)) {
+	if c == nil || !f.source.Compare(f.sink, copyOf(c)) {
 		return
 	}
 	if c = f.request(ctx, p, AfterConfiguration); c == nil {
--- a/depot/source.go
+++ b/depot/source.go
@@ -13,7 +13,7 @@
 // for them.
 const (
 	// AfterVersion requests a copy that holds no data but tells the version of the
-	// configuration.
+	// configuration and what of the platform's data is out of date.
 	AfterVersion uint64 = math.MaxUint64
 	// AfterConfiguration requests a copy that holds only the configuration.
 	AfterConfiguration uint64 = math.MaxUint64 - 1
@@ -51,13 +51,14 @@
 	// it may be out of date. An error means that the copy was rejected. CopyAfter then
 	// returns 0 if only all data of the other node would help.
 	Adopt(s Sink, c Copy, asOf clock.Millis) error
-	// MayBeOld reports whether other nodes may have a newer configuration than the
-	// platform, because that has come back from an older copy of its data, or may have
+	// MayBeOld reports whether other nodes may have newer data than the platform, because
+	// that has come back from an older copy of its data, or may have
 	// before the node started.
 	MayBeOld() bool
-	// Outdated reports whether a copy that was requested after AfterVersion tells of a newer
-	// configuration than the source's.
-	Outdated(c Copy) bool
+	// Compare reports whether a copy that was requested after AfterVersion tells of a newer
+	// configuration than the source's. It passes to the sink what the copy tells of VMs
+	// that left and that the platform lists again.
+	Compare(s Sink, c Copy) (outdated bool)
 	// AdoptConfiguration takes the configuration of a copy that was requested after
 	// AfterConfiguration, if it is newer than the source's, and passes it to the sink.
 	AdoptConfiguration(s Sink, c Copy) error
