depot: a node compares its data with others also while its source is unavailable

A node that started while the store was silent, soon after its return, or that had read the copy just before the silence, served the copy's configuration as long as the silence lasted: what other nodes have beyond its position was nothing, and the comparison waited for the source. Found by review.

TestConfigurationWhileUnavailable fails without the change (no configuration within 20 s) and passes with it. The fake of the tests now tells the kinds of requests apart.

--- a/depot/adapter_test.go
+++ b/depot/adapter_test.go
@@ -35,6 +35,8 @@
 	// polls counts the polls of the platform, and copies the copies made for other
 	// nodes.
 	polls, copies atomic.Int64
+	// newestOnly is set while the source copies only its configuration.
+	newestOnly atomic.Bool
 	// lastWait is how long the last poll was to wait for changes, in milliseconds.
 	lastWait atomic.Int64
 	started  atomic.Bool
@@ -96,8 +98,12 @@
 func (a *fakeAdapter) Copy(after uint64) Copy {
 	a.copies.Add(1)
 	known := a.currentText()
-	if after < AfterConfiguration && uint64(len(known)) <= after {
-		return Copy{Revision: uint64(len(known))}
+	switch {
+	case after == AfterVersion:
+		return Copy{Revision: uint64(len(known)), Text: []byte("version")}
+	case after == AfterConfiguration:
+	case uint64(len(known)) <= after || a.newestOnly.Load():
+		return Copy{Revision: min(after, uint64(len(known)))}
 	}
 	return Copy{Revision: uint64(len(known)), Whole: true, Text: []byte(known)}
 }
--- a/depot/copy_fetcher.go
+++ b/depot/copy_fetcher.go
@@ -39,11 +39,10 @@
 func (f *copyFetcher) run(ctx context.Context) error {
 	return f.guard.loop(ctx, "copy-fetcher", func() {
 		clock.Sleep(ctx, fetchPause/2+rand.N(fetchPause))
-		switch {
-		case ctx.Err() != nil:
-		case f.source.Unavailable():
+		if f.source.Unavailable() && ctx.Err() == nil {
 			f.fetch(ctx)
-		case f.source.MayBeOld():
+		}
+		if f.source.MayBeOld() && ctx.Err() == nil {
 			f.compare(ctx)
 		}
 	})
@@ -113,8 +112,8 @@
 	f.log.Warn().Str("event", "copy-refused").Str("vm", p.vm).Uint64("revision", c.Revision).Err(err).Send()
 }
 
-// choosePeer returns the node to query; nil if no VM and no seed is known. It is this node
-// only if no other is known.
+// choosePeer returns the node to query; nil if no VM and no seed is known. It may be
+// this node, but not if there are seeds.
 func (f *copyFetcher) choosePeer() *peer {
 	if v, ok := f.router.AnyVM(); ok && (v.Address() != f.self || len(f.seeds) == 0) {
 		return f.peers.get(v.Name(), v.Address())
--- a/depot/copy_fetcher_test.go
+++ b/depot/copy_fetcher_test.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// TestConfigurationWhileUnavailable guards against a node that starts while its source is
+// unavailable and does not compare its configuration: the data of the others is no newer.
+func TestConfigurationWhileUnavailable(t *testing.T) {
+	a, _ := startFakeAdapter(t, "u-1", "")
+	b, vm := startFakeAdapter(t, "u-2", "")
+	b.newestOnly.Store(true)
+	b.setText("newer")
+	a.setText("old")
+	a.mayBeOld.Store(true)
+	a.platformDown.Store(true)
+	a.setRoster(vm)
+	await(t, "configuration", func() bool { return a.node.Configuration() != nil })
+	if got := a.currentText(); got != "old" {
+		t.Errorf("got %q, want the data to stay %q", got, "old")
+	}
+}
+
 // TestSeedInPlaceOfItself guards against a node that compares its configuration only with
 // itself, because the platform's copy lists no other node.
 func TestSeedInPlaceOfItself(t *testing.T) {
