platform/drill: the plays of the store's return lie beside the adapter

They speak the protocol of the users' platform (its fields, keys and paths), whose names belong into platform/ and deploy/ only. soak/drill stood outside; soak itself names none of them.

--- a/soak/store.go
+++ b/soak/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"cuminhollow.example/soak/drill"
+	"cuminhollow.example/platform/drill"
 )
 
 // storeSeed plays a seed of returns of the platform's store from an older copy, and
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"testing"
 
-	"cuminhollow.example/soak/drill"
+	"cuminhollow.example/platform/drill"
 )
 
 // TestStoreSeeds plays a few seeds of returns of the platform's store from an older copy.
